--- /dev/null
+++ b/Source/Core/Common/ErrorKind.cpp
@@ -0,0 +1,90 @@
+#include "Common/ErrorKind.h"
+
+#include <array>
+
+#include <absl/strings/cord.h>
+
+#include "Common/StringView.h"
+
+namespace magnolia::common {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view KindPayload = "magnolia/error_kind";
+constexpr size_t KindCount = static_cast<size_t>(error_kind::Count);
+
+constexpr milliseconds Soon{50};
+constexpr milliseconds Later{1000};
+
+constexpr auto NotRun = execution::NotRun;
+constexpr auto Unknown = execution::Unknown;
+
+// In the order of error_kind.
+constexpr std::array<error_answer, KindCount> Answers = {{
+    {"bad_request", 400, NotRun, std::nullopt},
+    {"headers_too_large", 431, NotRun, std::nullopt},
+    {"body_too_large", 413, NotRun, std::nullopt},
+    {"key_missing", 401, NotRun, std::nullopt},
+    {"key_unknown", 401, NotRun, std::nullopt},
+    {"workspace_mismatch", 403, NotRun, std::nullopt},
+    {"route_not_found", 404, NotRun, std::nullopt},
+    {"rate_exceeded", 429, NotRun, Soon},
+    {"rate_unavailable", 503, NotRun, Later},
+    {"queue_full", 503, NotRun, Soon},
+    {"queue_deadline_exceeded", 503, NotRun, Soon},
+    {"no_target_available", 503, NotRun, Later},
+    {"configuration_missing", 503, NotRun, Later},
+    {"configuration_stale", 503, NotRun, Later},
+    {"instance_leaving", 503, NotRun, Soon},
+    {"target_unreachable", 502, NotRun, Soon},
+    {"target_refused", 503, NotRun, Soon},
+    {"target_broken", 502, Unknown, Later},
+    {"answer_truncated", 502, Unknown, Later},
+    {"answer_mismatched", 502, Unknown, Later},
+    {"answer_too_large", 502, execution::Ran, std::nullopt},
+    {"deadline_exceeded", 504, Unknown, Later},
+    {"caller_gone", 499, Unknown, std::nullopt},
+    {"idempotency_unavailable", 503, NotRun, Later},
+    {"idempotency_in_progress", 409, Unknown, Later},
+    {"idempotency_completed", 409, execution::Ran, std::nullopt},
+    {"internal", 500, Unknown, Later},
+}};
+
+} // namespace
+
+const error_answer &answerFor(error_kind Kind) {
+  return Answers.at(static_cast<size_t>(Kind));
+}
+
+std::string_view nameOf(execution Execution) {
+  switch (Execution) {
+  case execution::NotRun:
+    return "no";
+  case execution::Ran:
+    return "yes";
+  case execution::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+absl::Status makeError(error_kind Kind, std::string_view Detail) {
+  absl::Status Status(absl::StatusCode::kUnavailable, toAbsl(Detail));
+  const char Code = static_cast<char>(Kind);
+  Status.SetPayload(toAbsl(KindPayload),
+                    absl::Cord(absl::string_view(&Code, 1)));
+  return Status;
+}
+
+error_kind kindOf(const absl::Status &Status) {
+  const auto Payload = Status.GetPayload(toAbsl(KindPayload));
+  if (!Payload || Payload->size() != 1)
+    return error_kind::Internal;
+  const auto Code = static_cast<uint8_t>((*Payload)[0]);
+  if (Code >= KindCount)
+    return error_kind::Internal;
+  return static_cast<error_kind>(Code);
+}
+
+} // namespace magnolia::common
--- /dev/null
+++ b/Source/Core/Common/Time.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+
+/// Clocks. Decision parts take the time as an argument; only the processes
+/// read these.
+namespace magnolia::common {
+
+/// Monotonic clock that also counts while the machine is suspended, so that a
+/// lease cannot outlive a pause unseen.
+struct boot_clock {
+  using duration = std::chrono::microseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now();
+};
+
+using boot_time = boot_clock::time_point;
+
+/// Wall-clock time in microseconds since 1970-01-01 UTC, comparable between
+/// instances up to their clock skew.
+using wall_time = std::chrono::time_point<std::chrono::system_clock,
+                                          std::chrono::microseconds>;
+
+/// The current wall-clock time.
+wall_time wallNow();
+
+/// Microseconds since 1970-01-01 UTC, the form in which wall times travel.
+int64_t toUnixMicros(wall_time Time);
+
+/// The inverse of toUnixMicros.
+wall_time fromUnixMicros(int64_t Micros);
+
+} // namespace magnolia::common
--- /dev/null
+++ b/Source/Rooms.cmake
@@ -0,0 +1,50 @@
+# Functions with which each room declares its library, programs and tests.
+
+# Headers are included relative to Source/Core and Source.
+function(magnolia_compile_options Target)
+  target_compile_options(${Target} PRIVATE -Wall -Wextra -Wpedantic
+                                           -Wconversion -Werror)
+  target_include_directories(${Target} PUBLIC ${CMAKE_SOURCE_DIR}/Source/Core
+                                              ${CMAKE_SOURCE_DIR}/Source)
+endfunction()
+
+# magnolia_room(Quota SOURCES a.cpp DEPENDS magnolia_common absl::status)
+function(magnolia_room Room)
+  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
+  string(TOLOWER ${Room} Lower)
+  add_library(magnolia_${Lower} STATIC ${Arg_SOURCES})
+  magnolia_compile_options(magnolia_${Lower})
+  target_compile_definitions(magnolia_${Lower}
+                             PRIVATE MAGNOLIA_VERSION="${PROJECT_VERSION}")
+  target_link_libraries(magnolia_${Lower} PUBLIC ${Arg_DEPENDS})
+endfunction()
+
+# magnolia_program(magnoliad SOURCES Main.cpp DEPENDS magnolia_net)
+function(magnolia_program Program)
+  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${Program} ${Arg_SOURCES})
+  magnolia_compile_options(${Program})
+  target_compile_definitions(${Program}
+                             PRIVATE MAGNOLIA_VERSION="${PROJECT_VERSION}")
+  target_link_libraries(${Program} PRIVATE ${Arg_DEPENDS})
+endfunction()
+
+# magnolia_unit_test(Quota SOURCES Bucket_test.cpp DEPENDS magnolia_quota)
+function(magnolia_unit_test Room)
+  cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
+  add_executable(${Room}Tests ${CMAKE_SOURCE_DIR}/Source/UnitTests/Main.cpp
+                              ${Arg_SOURCES})
+  magnolia_compile_options(${Room}Tests)
+  target_link_libraries(${Room}Tests PRIVATE ${Arg_DEPENDS} doctest::doctest)
+  doctest_discover_tests(${Room}Tests TEST_PREFIX "${Room}: ")
+endfunction()
+
+# Adds each directory below the current one that holds a CMakeLists.txt.
+function(magnolia_add_subdirectories)
+  file(GLOB Lists CONFIGURE_DEPENDS RELATIVE ${CMAKE_CURRENT_SOURCE_DIR}
+       ${CMAKE_CURRENT_SOURCE_DIR}/*/CMakeLists.txt)
+  foreach(List IN LISTS Lists)
+    get_filename_component(Directory ${List} DIRECTORY)
+    add_subdirectory(${Directory})
+  endforeach()
+endfunction()
--- /dev/null
+++ b/Source/UnitTests/Common/TimerServiceTest.cpp
@@ -0,0 +1,48 @@
+#include "Common/TimerService.h"
+
+#include <vector>
+
+#include <doctest/doctest.h>
+
+using namespace magnolia::common;
+using std::chrono::milliseconds;
+
+namespace {
+
+boot_time at(int Milliseconds) { return boot_time(milliseconds(Milliseconds)); }
+
+} // namespace
+
+TEST_CASE("A timer service") {
+  timer_service Service;
+  std::vector<int> Fired;
+
+  SUBCASE("fires in the order of due times, each once") {
+    Service.subscribeOnce(at(20), [&](boot_time) { Fired.push_back(20); });
+    Service.subscribeOnce(at(10), [&](boot_time) { Fired.push_back(10); });
+    CHECK(Service.nextDue() == at(10));
+    Service.advance(at(9));
+    CHECK(Fired.empty());
+    Service.advance(at(30));
+    Service.advance(at(40));
+    CHECK(Fired == std::vector<int>{10, 20});
+  }
+
+  SUBCASE("fires a period missed several times over once") {
+    Service.subscribeEvery(at(10), milliseconds(10),
+                           [&](boot_time) { Fired.push_back(1); });
+    Service.advance(at(55));
+    CHECK(Fired.size() == 1);
+    CHECK(Service.nextDue() == at(60));
+    Service.advance(at(60));
+    CHECK(Fired.size() == 2);
+  }
+
+  SUBCASE("does not fire what was cancelled, even from a callback") {
+    const auto Later =
+        Service.subscribeOnce(at(20), [&](boot_time) { Fired.push_back(20); });
+    Service.subscribeOnce(at(10), [&](boot_time) { Service.cancel(Later); });
+    Service.advance(at(30));
+    CHECK(Fired.empty());
+  }
+}
