Add the Target room: choice, passive evidence, draining and ejection within the floor

Targets fail gray and each instance sees them from one side only. Choice prefers few in flight; evidence is weighted by age and compared with the service's other targets; peers' digests tell a bad target from a bad link; fleet-wide ejections are decided by the holder of a floor lease and stay in force for a term that counts from the receiver's own last digest.

Ruled out: a floor per instance alone, since two instances may eject different halves; votes over the digests, since membership is not agreed.

--- /dev/null
+++ b/Source/Core/Target/Evidence.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+#include "Target/Settings.h"
+
+namespace magnolia::target {
+
+/// How an attempt at a target ended.
+enum class outcome : uint8_t {
+  Success,
+  /// The target answered with an error of its own.
+  Error,
+  /// The deadline passed without an answer.
+  Stall,
+  /// The answer broke off.
+  HalfAnswer,
+  /// No connection came about.
+  Unreachable,
+  /// The target was busy or leaving and did not run the request.
+  RefusedNotRun,
+  /// The answer belonged to another request.
+  Mismatched,
+  Count
+};
+
+/// The name of \p Outcome as metrics show it.
+std::string_view nameOf(outcome Outcome);
+
+/// What has been seen of one target, weighted by age. Sums over several
+/// observers are made by add().
+struct evidence_summary {
+  /// Number of attempts.
+  double Weight = 0;
+  /// Number of attempts that failed.
+  double Faults = 0;
+  /// Number of answers whose latency was taken.
+  double Answers = 0;
+  /// Sum of the natural logarithms of those latencies in microseconds.
+  double LogLatencySum = 0;
+
+  void add(const evidence_summary &Other);
+  double faultRate() const { return Weight > 0 ? Faults / Weight : 0; }
+  /// Mean logarithm of latency; zero without an answer.
+  double meanLogLatency() const {
+    return Answers > 0 ? LogLatencySum / Answers : 0;
+  }
+};
+
+/// Exponentially weighted observations of one target by one instance.
+class evidence {
+public:
+  /// Takes the end of one attempt. Busy refusals are no evidence of a fault.
+  void observe(outcome Outcome, duration Latency, boot_time Now,
+               const settings &Settings);
+
+  /// The sums as of \p Now; \p Stalled requests in flight count as failed.
+  evidence_summary summarize(uint32_t Stalled, boot_time Now,
+                             const settings &Settings) const;
+
+  void reset() { *this = evidence(); }
+
+private:
+  double decayUntil(boot_time Now, const settings &Settings) const;
+
+  evidence_summary Sums;
+  boot_time Updated;
+};
+
+} // namespace magnolia::target
--- /dev/null
+++ b/Source/Core/Target/FloorLease.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <string>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/status/status.h>
+#include <absl/synchronization/mutex.h>
+
+#include "Common/Time.h"
+#include "Platform/Services.h"
+
+namespace magnolia::target {
+
+/// Terms of a floor lease.
+struct floor_lease_settings {
+  /// How long a lease lasts from when its row was written.
+  common::boot_clock::duration Term = std::chrono::seconds(60);
+  /// Bound on the difference of two instances' wall clocks, and on the drift
+  /// of a boot clock over one term.
+  common::boot_clock::duration ClockMargin = std::chrono::seconds(2);
+};
+
+/// The right to decide on ejections for a part of the services, held by at
+/// most one instance at a time through a row of the platform's table. While
+/// the platform is away the right lapses with its term, and no target is
+/// ejected. Thread-safe.
+class floor_lease {
+public:
+  /// \p Holder must differ between processes, also between restarts of one.
+  floor_lease(std::string RowKey, std::string Holder,
+              floor_lease_settings Settings)
+      : RowKey(std::move(RowKey)), Holder(std::move(Holder)),
+        Settings(Settings) {}
+
+  /// Takes the lease if it is free and renews it once half its term is over.
+  /// Blocks on the table; the times are read before the call.
+  absl::Status poll(const platform::table_service &Table,
+                    common::wall_time WallNow, common::boot_time BootNow);
+
+  /// Gives the lease up, after the holder stopped to decide and \p LastInForce,
+  /// the wall time at which its last decision has ended.
+  absl::Status release(const platform::table_service &Table,
+                       common::wall_time LastInForce);
+
+  /// The holder may let decisions stay in force until then; in the past if the
+  /// lease is not held.
+  common::boot_time heldUntil() const;
+
+private:
+  absl::Status write(const platform::table_service &Table,
+                     const platform::row &Row, common::wall_time Until);
+
+  const std::string RowKey;
+  const std::string Holder;
+  const floor_lease_settings Settings;
+  mutable absl::Mutex Mutex;
+  common::boot_time Held ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace magnolia::target
--- /dev/null
+++ b/Source/Core/Target/FloorLedger.cpp
@@ -0,0 +1,97 @@
+#include "Target/FloorLedger.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Common/StringView.h"
+
+namespace magnolia::target {
+namespace {
+
+/// Keeps a product like 0.3 * 10 from being rounded up past a whole number.
+constexpr double RoundingSlack = 1e-9;
+
+uint32_t liveSlots(absl::Span<const ledger_target> Targets) {
+  uint32_t Slots = 0;
+  for (const ledger_target &Target : Targets)
+    Slots += Target.Live ? Target.Slots : 0;
+  return Slots;
+}
+
+} // namespace
+
+uint32_t ejectableSlots(uint32_t LiveSlots, double Floor) {
+  const double Kept = std::ceil(Floor * LiveSlots - RoundingSlack);
+  return LiveSlots - std::min(LiveSlots, static_cast<uint32_t>(Kept));
+}
+
+void floor_ledger::dropOld(boot_time Now) {
+  absl::erase_if(Entries, [&](const auto &Item) {
+    const entry &Entry = Item.second;
+    return Entry.InForceUntil <= Now &&
+           Entry.EjectedUntil + Settings.BackOffReset <= Now;
+  });
+}
+
+bool floor_ledger::wanted(const ledger_target &Target, boot_time Now) {
+  if (!Target.Live)
+    return false;
+  const auto Found = Entries.find(common::toAbsl(Target.Name));
+  const bool Resting =
+      Found != Entries.end() && Found->second.EjectedUntil > Now;
+  return Target.Bad || Resting;
+}
+
+std::vector<std::string>
+floor_ledger::publish(absl::Span<const ledger_target> Targets, double Floor,
+                      duration Term, boot_time Now) {
+  dropOld(Now);
+  // Each ejection that may be in force counts, published or not, also that of a
+  // draining target, which may come back.
+  std::vector<const ledger_target *> InForce;
+  std::vector<const ledger_target *> Fresh;
+  uint32_t Used = 0;
+  for (const ledger_target &Target : Targets) {
+    const auto Found = Entries.find(common::toAbsl(Target.Name));
+    const bool Counted =
+        Found != Entries.end() && Found->second.InForceUntil > Now;
+    if (Counted)
+      Used += Target.Slots;
+    if (wanted(Target, Now))
+      (Counted ? InForce : Fresh).push_back(&Target);
+  }
+  const auto Worse = [](const ledger_target *A, const ledger_target *B) {
+    return A->Score > B->Score;
+  };
+  std::stable_sort(InForce.begin(), InForce.end(), Worse);
+  std::stable_sort(Fresh.begin(), Fresh.end(), Worse);
+
+  const uint32_t Allowed = ejectableSlots(liveSlots(Targets), Floor);
+  std::vector<std::string> List;
+  uint32_t Published = 0;
+  const auto Publish = [&](const ledger_target &Target) {
+    entry &Entry = Entries[common::toAbsl(Target.Name)];
+    if (Entry.EjectedUntil <= Now) {
+      Entry.BackOff =
+          Entry.BackOff == duration::zero()
+              ? Settings.BackOff
+              : std::min(Entry.BackOff * 2, Settings.LongestBackOff);
+      Entry.EjectedUntil = Now + Entry.BackOff;
+    }
+    Entry.InForceUntil = std::max(Entry.InForceUntil, Now + Term);
+    Published += Target.Slots;
+    List.emplace_back(Target.Name);
+  };
+  for (const ledger_target *Target : InForce)
+    if (Published + Target->Slots <= Allowed)
+      Publish(*Target);
+  for (const ledger_target *Target : Fresh) {
+    if (Used + Target->Slots > Allowed)
+      continue;
+    Used += Target->Slots;
+    Publish(*Target);
+  }
+  return List;
+}
+
+} // namespace magnolia::target
--- /dev/null
+++ b/Source/Core/Target/ServiceState.cpp
@@ -0,0 +1,347 @@
+#include "Target/ServiceState.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "Common/StringView.h"
+#include "Target/Outlier.h"
+
+namespace magnolia::target {
+namespace {
+
+/// Candidates that a choice looks at before it scans all targets.
+constexpr size_t SampledCandidates = 8;
+/// One choice in so many ignores failure domains, so that each target is seen
+/// from all of them even while there is little to do.
+constexpr uint64_t ChoicesPerFarOne = 4;
+/// Reports without weight and drain mark tell peers nothing.
+constexpr double LeastReportedWeight = 0.5;
+
+/// How many requests a return may cost: one fault or a few slow answers end it.
+settings strictForReturn(const settings &Settings) {
+  settings Strict = Settings;
+  Strict.Confidence = 0.5;
+  Strict.MinimumWeight = 0.9;
+  return Strict;
+}
+
+bool contains(absl::Span<const std::string> Names, std::string_view Name) {
+  return std::find(Names.begin(), Names.end(), Name) != Names.end();
+}
+
+} // namespace
+
+service_state::service_state(const contract::service &Config, identity Self,
+                             const settings &Settings)
+    : Self(std::move(Self)), Settings(Settings), Ledger(Settings) {
+  reconfigure(Config);
+}
+
+void service_state::reconfigure(const contract::service &Newer) {
+  std::vector<target_state> Kept;
+  Kept.reserve(Newer.Targets.size());
+  absl::flat_hash_map<std::string, size_t> KeptIndices;
+  for (const contract::target &Target : Newer.Targets) {
+    target_state *Known = find(Target.Name);
+    Kept.push_back(Known ? std::move(*Known) : target_state(Target));
+    Kept.back().reconfigure(Target);
+    KeptIndices.emplace(Target.Name, Kept.size() - 1);
+  }
+  Targets = std::move(Kept);
+  // Peers' evidence names targets by index, which a changed list moves.
+  const bool SameTargets = KeptIndices == Indices;
+  Indices = std::move(KeptIndices);
+  Config = Newer;
+  Config.Targets.clear();
+  if (SameTargets)
+    return;
+  Fleet.setTargets(Targets.size());
+  Verdicts.assign(Targets.size(), {});
+}
+
+target_state *service_state::find(std::string_view Target) {
+  const auto Found = Indices.find(common::toAbsl(Target));
+  return Found == Indices.end() ? nullptr : &Targets[Found->second];
+}
+
+service_state::preference
+service_state::preferenceOf(const target_state &Target,
+                            absl::Span<const std::string> Excluded,
+                            boot_time Now) const {
+  if (!Target.hasFreeSlot() || contains(Excluded, Target.config().Name))
+    return preference::None;
+  if (Target.standingNow() == standing::Avoided)
+    return preference::Avoided;
+  return Target.busy(Now) ? preference::Busy : preference::First;
+}
+
+bool service_state::better(const target_state &A, const target_state &B,
+                           bool PreferNear) const {
+  // In flight over slots, compared without a division.
+  const uint64_t LoadA = uint64_t{A.inFlight()} * B.config().Slots;
+  const uint64_t LoadB = uint64_t{B.inFlight()} * A.config().Slots;
+  if (LoadA != LoadB)
+    return LoadA < LoadB;
+  const bool NearA = A.config().FailureDomain == Self.FailureDomain;
+  const bool NearB = B.config().FailureDomain == Self.FailureDomain;
+  if (PreferNear && NearA != NearB)
+    return NearA;
+  return A.reportedLoad() < B.reportedLoad();
+}
+
+std::optional<choice>
+service_state::choose(absl::Span<const std::string> Excluded, uint64_t Random,
+                      boot_time Now) {
+  evaluate(Now);
+  const bool PreferNear = (Random >> 32) % ChoicesPerFarOne != 0;
+  target_state *Best = nullptr;
+  preference BestPreference = preference::None;
+  const size_t Count = Targets.size();
+  for (size_t Looked = 0; Looked < Count; ++Looked) {
+    // Steps through all targets from a random start; a large service is
+    // sampled until a first choice turns up.
+    if (Looked >= SampledCandidates && BestPreference == preference::First)
+      break;
+    target_state &Target = Targets[(Random + Looked) % Count];
+    const preference Preference = preferenceOf(Target, Excluded, Now);
+    if (Preference == preference::None || Preference > BestPreference)
+      continue;
+    if (Preference < BestPreference || better(Target, *Best, PreferNear)) {
+      Best = &Target;
+      BestPreference = Preference;
+    }
+  }
+  if (Best == nullptr)
+    return std::nullopt;
+  const uint64_t Attempt = ++LastAttempt;
+  Best->begin(Attempt, Now);
+  return choice{Config.Name, Best->config().Name, Best->config().Address,
+                Best->config().FailureDomain, Attempt};
+}
+
+void service_state::finish(const choice &Choice, const observation &Observation,
+                           boot_time Now) {
+  target_state *Target = find(Choice.Target);
+  if (Target == nullptr || Target->config().Address != Choice.Address)
+    return;
+  const boot_time Begun = Target->end(Choice.Attempt, boot_time::min());
+  Target->observe(Observation.Outcome, Observation.Latency, Begun, Now,
+                  Settings);
+  if (Observation.Drain)
+    Target->reportDrain(Observation.Drain->Draining,
+                        Observation.Drain->Incarnation, Begun, Now);
+  if (Observation.ReportedLoad)
+    Target->reportLoad(*Observation.ReportedLoad);
+  evaluate(Now);
+}
+
+void service_state::cancel(const choice &Choice, boot_time Now) {
+  target_state *Target = find(Choice.Target);
+  if (Target != nullptr)
+    Target->end(Choice.Attempt, Now);
+}
+
+void service_state::reportDrain(std::string_view Name,
+                                const drain_report &Report, boot_time Asked,
+                                boot_time Now) {
+  if (target_state *Target = find(Name))
+    Target->reportDrain(Report.Draining, Report.Incarnation, Asked, Now);
+}
+
+duration service_state::stallAge() const {
+  const auto Multiple = static_cast<int64_t>(
+      Settings.StallRatio * static_cast<double>(MedianLatency.count()));
+  return std::max(Settings.StallAge, duration(Multiple));
+}
+
+std::vector<evidence_summary> service_state::summaries(boot_time Now) const {
+  const duration StallAge = stallAge();
+  std::vector<evidence_summary> Summaries;
+  Summaries.reserve(Targets.size());
+  for (const target_state &Target : Targets)
+    Summaries.push_back(Target.summarize(StallAge, Now, Settings));
+  return Summaries;
+}
+
+void service_state::evaluate(boot_time Now) {
+  if (Now - Evaluated < Settings.EvaluationPeriod)
+    return;
+  Evaluated = Now;
+  const std::vector<evidence_summary> Own = summaries(Now);
+  MedianLatency = medianLatency(Own);
+  Verdicts = Fleet.judge(Self.FailureDomain, Own, Now, Settings);
+  for (target_state &Target : Targets)
+    Target.advance(Now, Settings);
+  applyEjections(Now);
+  keepFloor(Now);
+  avoidOutliers(Own, Now);
+}
+
+void service_state::applyEjections(boot_time Now) {
+  if (Now >= EjectionsUntil)
+    Ejections.clear();
+  // The list is cut where this instance's live targets no longer allow it, so
+  // that all instances eject the worst ones of one order.
+  const uint32_t Allowed = ejectableSlots(liveSlots(), Config.Floor);
+  std::vector<std::string_view> InForce;
+  uint32_t Slots = 0;
+  for (const std::string &Name : Ejections) {
+    const target_state *Target = find(Name);
+    if (Target == nullptr || Target->draining())
+      continue;
+    Slots += Target->config().Slots;
+    if (Slots > Allowed)
+      break;
+    InForce.push_back(Name);
+  }
+  for (target_state &Target : Targets) {
+    const std::string &Name = Target.config().Name;
+    const bool Ejected =
+        std::find(InForce.begin(), InForce.end(), Name) != InForce.end();
+    Target.setEjected(Ejected, Now, Settings);
+  }
+}
+
+void service_state::keepFloor(boot_time Now) {
+  const uint32_t Allowed = ejectableSlots(liveSlots(), Config.Floor);
+  uint32_t Unused = unusedSlots();
+  std::vector<target_state *> LeastBadFirst;
+  for (target_state &Target : Targets)
+    if (Target.standingNow() == standing::Avoided)
+      LeastBadFirst.push_back(&Target);
+  std::stable_sort(LeastBadFirst.begin(), LeastBadFirst.end(),
+                   [](const target_state *A, const target_state *B) {
+                     return A->score() < B->score();
+                   });
+  for (target_state *Target : LeastBadFirst) {
+    if (Unused <= Allowed)
+      return;
+    Target->release(Now);
+    Unused -= Target->config().Slots;
+  }
+}
+
+void service_state::avoidOutliers(absl::Span<const evidence_summary> Own,
+                                  boot_time Now) {
+  const std::vector<double> Scores = outlierScores(Own, Settings);
+  const std::vector<double> ReturnScores =
+      outlierScores(Own, strictForReturn(Settings));
+  std::vector<size_t> Outliers;
+  for (size_t I = 0; I < Targets.size(); ++I) {
+    target_state &Target = Targets[I];
+    const standing Standing = Target.standingNow();
+    // A returning target is judged by what this instance sees of it now.
+    const bool Returning = Standing == standing::Returning;
+    const double Score =
+        Returning ? ReturnScores[I] : std::max(Scores[I], Verdicts[I].Score);
+    const bool Outlier =
+        Score >= 1 && (Returning || Scores[I] >= 1 || Verdicts[I].Bad);
+    if (Standing == standing::Healthy || Returning)
+      Target.setScore(Score);
+    if (Outlier && (Standing == standing::Healthy || Returning))
+      Outliers.push_back(I);
+  }
+  std::stable_sort(Outliers.begin(), Outliers.end(), [&](size_t A, size_t B) {
+    return Targets[A].score() > Targets[B].score();
+  });
+  const uint32_t Allowed = ejectableSlots(liveSlots(), Config.Floor);
+  uint32_t Unused = unusedSlots();
+  for (const size_t I : Outliers) {
+    target_state &Target = Targets[I];
+    if (Unused + Target.config().Slots > Allowed)
+      continue;
+    Unused += Target.config().Slots;
+    const bool LinkOnly = !Verdicts[I].Bad && Verdicts[I].WorksForOthers;
+    Target.avoid(LinkOnly ? avoid_reason::LinkBad : avoid_reason::TargetBad,
+                 Now, Settings);
+  }
+}
+
+uint32_t service_state::liveSlots() const {
+  uint32_t Slots = 0;
+  for (const target_state &Target : Targets)
+    Slots += Target.draining() ? 0 : Target.config().Slots;
+  return Slots;
+}
+
+uint32_t service_state::unusedSlots() const {
+  uint32_t Slots = 0;
+  for (const target_state &Target : Targets) {
+    const standing Standing = Target.standingNow();
+    if (Standing == standing::Avoided || Standing == standing::Ejected)
+      Slots += Target.config().Slots;
+  }
+  return Slots;
+}
+
+void service_state::beginReport(const digest &Digest, boot_time Now) {
+  Fleet.begin(Digest.Instance, Digest.FailureDomain, Now);
+}
+
+void service_state::takeReport(std::string_view Instance,
+                               const target_report &Report, boot_time Now) {
+  const auto Found = Indices.find(Report.Target);
+  if (Found == Indices.end())
+    return;
+  Fleet.take(Instance, Found->second, Report.Evidence);
+  Targets[Found->second].mergeDrain(Report.Drain, Now);
+}
+
+void service_state::obey(absl::Span<const std::string> Names, boot_time Until,
+                         boot_time Now) {
+  if (Until <= Now)
+    return;
+  Ejections.assign(Names.begin(), Names.end());
+  EjectionsUntil = Until;
+  Evaluated = boot_time();
+  evaluate(Now);
+}
+
+std::vector<std::string> service_state::decide(duration Term, boot_time Now) {
+  evaluate(Now);
+  std::vector<ledger_target> Candidates;
+  Candidates.reserve(Targets.size());
+  for (size_t I = 0; I < Targets.size(); ++I)
+    Candidates.push_back({Targets[I].config().Name, Targets[I].config().Slots,
+                          !Targets[I].draining(), Verdicts[I].Bad,
+                          Verdicts[I].Score});
+  std::vector<std::string> List =
+      Ledger.publish(Candidates, Config.Floor, Term, Now);
+  obey(List, Now + Term, Now);
+  return List;
+}
+
+void service_state::appendReports(std::vector<target_report> &Reports,
+                                  boot_time Now) const {
+  const std::vector<evidence_summary> Own = summaries(Now);
+  for (size_t I = 0; I < Targets.size(); ++I) {
+    const drain_mark &Mark = Targets[I].drainMark();
+    if (Own[I].Weight >= LeastReportedWeight || Mark != drain_mark())
+      Reports.push_back({Config.Name, Targets[I].config().Name, Own[I], Mark});
+  }
+}
+
+void service_state::appendStatus(std::vector<target_status> &Status,
+                                 boot_time Now) const {
+  const std::vector<evidence_summary> Own = summaries(Now);
+  for (size_t I = 0; I < Targets.size(); ++I) {
+    const target_state &Target = Targets[I];
+    const duration Latency(Own[I].Answers > 0
+                               ? std::llround(std::exp(Own[I].meanLogLatency()))
+                               : 0);
+    Status.push_back({Config.Name, Target.config().Name,
+                      Target.config().Address, Target.standingNow(),
+                      Target.reason(), Target.inFlight(), Target.config().Slots,
+                      Own[I].faultRate(), Latency, Target.score()});
+  }
+}
+
+void service_state::appendProbes(std::vector<choice> &Probes, boot_time Now) {
+  for (target_state &Target : Targets)
+    if (Target.probeDue(Now, Settings))
+      Probes.push_back({Config.Name, Target.config().Name,
+                        Target.config().Address, Target.config().FailureDomain,
+                        0});
+}
+
+} // namespace magnolia::target
--- /dev/null
+++ b/Source/UnitTests/Target/DrainMarkTest.cpp
@@ -0,0 +1,51 @@
+#include "Target/DrainMark.h"
+
+#include <doctest/doctest.h>
+
+using magnolia::target::drain_mark;
+
+TEST_CASE("A drain mark") {
+  drain_mark Mark;
+  REQUIRE(Mark.report(true, 7));
+  const drain_mark Drained = Mark;
+
+  SUBCASE("is not undone by older gossip") {
+    CHECK_FALSE(Mark.merge({7, 0, false}));
+    CHECK_FALSE(Mark.merge({6, 9, false}));
+    CHECK(Mark.Draining);
+  }
+
+  SUBCASE("ends with a newer incarnation") {
+    CHECK(Mark.report(false, 8));
+    CHECK_FALSE(Mark.Draining);
+
+    SUBCASE("and old gossip does not drain it again") {
+      CHECK_FALSE(Mark.merge(Drained));
+      CHECK_FALSE(Mark.Draining);
+    }
+    SUBCASE("nor does a late answer of the old process") {
+      CHECK_FALSE(Mark.report(true, 7));
+      CHECK_FALSE(Mark.reportLate(true, 7));
+      CHECK_FALSE(Mark.Draining);
+    }
+  }
+
+  SUBCASE("ends when the process itself takes it back") {
+    CHECK(Mark.report(false, 7));
+    CHECK_FALSE(Mark.Draining);
+    CHECK_FALSE(Mark.merge(Drained));
+  }
+
+  SUBCASE("stands against an answer to an earlier request") {
+    CHECK_FALSE(Mark.reportLate(false, 7));
+    CHECK(Mark.Draining);
+  }
+
+  SUBCASE("merges to the same in any order") {
+    drain_mark A{7, 1, true};
+    drain_mark B{7, 1, false};
+    CHECK_FALSE(A.merge(B));
+    CHECK(B.merge({7, 1, true}));
+    CHECK(A == B);
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Target/FloorLedgerTest.cpp
@@ -0,0 +1,56 @@
+#include "Target/FloorLedger.h"
+
+#include <doctest/doctest.h>
+
+using namespace magnolia::target;
+using std::chrono::seconds;
+using names = std::vector<std::string>;
+
+TEST_CASE("A floor ledger") {
+  floor_ledger Ledger{settings()};
+  std::vector<ledger_target> Targets;
+  for (const std::string_view Name : {"t0", "t1", "t2", "t3", "t4", "t5"})
+    Targets.push_back({Name, 6, true, false, 0});
+  const auto Mark = [&](size_t Target, double Score) {
+    Targets[Target].Bad = Score > 0;
+    Targets[Target].Score = Score;
+  };
+  const auto Publish = [&](int Second) {
+    return Ledger.publish(Targets, 0.5, seconds(3), boot_time(seconds(Second)));
+  };
+
+  SUBCASE("rounds the floor up to whole slots") {
+    CHECK(ejectableSlots(36, 0.5) == 18);
+    CHECK(ejectableSlots(35, 0.5) == 17);
+    CHECK(ejectableSlots(10, 0.3) == 7);
+    CHECK(ejectableSlots(6, 1.0) == 0);
+  }
+
+  SUBCASE("ejects the worst as far as the floor allows") {
+    for (size_t I = 0; I < 5; ++I)
+      Mark(I, static_cast<double>(I + 1));
+    CHECK(Publish(1) == names{"t4", "t3", "t2"});
+
+    SUBCASE("and counts each until its last term has ended") {
+      for (size_t I = 0; I < 5; ++I)
+        Mark(I, 0);
+      Mark(5, 9);
+      // The rest of the three lasts five seconds, the last term three more.
+      for (int Second = 2; Second <= 5; ++Second)
+        CHECK(Publish(Second) == names{"t2", "t3", "t4"});
+      CHECK(Publish(6).empty());
+      CHECK(Publish(7).empty());
+      CHECK(Publish(8) == names{"t5"});
+    }
+
+    SUBCASE("and fewer when live capacity leaves") {
+      Targets[0].Live = false;
+      CHECK(Publish(2) == names{"t4", "t3"});
+    }
+
+    SUBCASE("and no other one in place of a draining one, which may return") {
+      Targets[4].Live = false;
+      CHECK(Publish(2) == names{"t3", "t2"});
+    }
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Target/SelectorTest.cpp
@@ -0,0 +1,301 @@
+#include "Target/Selector.h"
+
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+using namespace magnolia;
+using namespace magnolia::target;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+contract::service orders(size_t TargetCount, uint32_t Slots) {
+  contract::service Service;
+  Service.Name = "orders";
+  Service.Floor = 0.5;
+  const std::vector<std::string> Domains = {"Trnava", "Nitra", "Senica"};
+  for (size_t I = 0; I < TargetCount; ++I)
+    Service.Targets.push_back({"t" + std::to_string(I),
+                               "127.0.0.1:" + std::to_string(9000 + I),
+                               Domains[I % Domains.size()], Slots, false});
+  return Service;
+}
+
+/// A selector with the clock and the random numbers of a test.
+struct world {
+  explicit world(size_t TargetCount = 6, uint32_t Slots = 6)
+      : Service(orders(TargetCount, Slots)),
+        Selector({"a", "Trnava", 1}, settings::fastDetection(),
+                 [this] { return Numbers(); }) {
+    Selector.setServices({&Service, 1});
+  }
+
+  std::optional<choice> choose() { return Selector.choose("orders", {}, Now); }
+
+  /// Runs one request of \p Latency, which ends as \p Outcome if it went to
+  /// \p Bad.
+  std::string run(const std::string &Bad, outcome Outcome,
+                  milliseconds BadLatency, milliseconds Latency) {
+    const std::optional<choice> Choice = choose();
+    if (!Choice)
+      return "";
+    const bool IsBad = Choice->Target == Bad;
+    Now += milliseconds(10);
+    observation Seen;
+    Seen.Outcome = IsBad ? Outcome : outcome::Success;
+    Seen.Latency = IsBad ? BadLatency : Latency;
+    Selector.finish(*Choice, Seen, Now);
+    return Choice->Target;
+  }
+
+  size_t unused() {
+    size_t Count = 0;
+    for (const target_status &Each : Selector.snapshot(Now))
+      Count += Each.Standing == standing::Avoided ||
+               Each.Standing == standing::Ejected;
+    return Count;
+  }
+
+  standing standingOf(const std::string &Target) {
+    for (const target_status &Each : Selector.snapshot(Now))
+      if (Each.Target == Target)
+        return Each.Standing;
+    return standing::Count;
+  }
+
+  contract::service Service;
+  std::mt19937_64 Numbers{20261204};
+  boot_time Now{seconds(100)};
+  target_selector Selector;
+};
+
+} // namespace
+
+TEST_CASE("A target selector") {
+  world World;
+
+  SUBCASE("spreads attempts by requests in flight and fills every slot once") {
+    std::vector<choice> Held;
+    while (const auto Choice = World.choose())
+      Held.push_back(*Choice);
+    CHECK(Held.size() == 36);
+
+    SUBCASE("and a finished or cancelled attempt frees its slot") {
+      World.Selector.finish(Held[0], {}, World.Now);
+      World.Selector.cancel(Held[1], World.Now);
+      CHECK(World.choose());
+      CHECK(World.choose());
+      CHECK_FALSE(World.choose());
+    }
+  }
+
+  SUBCASE("prefers its own failure domain among equally loaded targets") {
+    std::map<std::string, int> Counts;
+    for (int I = 0; I < 1200; ++I) {
+      const auto Choice = World.choose();
+      REQUIRE(Choice);
+      ++Counts[Choice->FailureDomain];
+      World.Selector.cancel(*Choice, World.Now);
+    }
+    CHECK(Counts["Trnava"] > 900);
+    CHECK(Counts["Nitra"] > 50);
+    CHECK(Counts["Senica"] > 50);
+  }
+
+  SUBCASE("does not choose an excluded target") {
+    const std::vector<std::string> Excluded = {"t0", "t1", "t2", "t3", "t4"};
+    const auto Choice = World.Selector.choose("orders", Excluded, World.Now);
+    REQUIRE(Choice);
+    CHECK(Choice->Target == "t5");
+  }
+
+  SUBCASE("knows no targets of a service that is gone") {
+    World.Selector.setServices({});
+    CHECK_FALSE(World.choose());
+  }
+
+  for (const outcome Outcome : {outcome::Error, outcome::HalfAnswer,
+                                outcome::Unreachable, outcome::Mismatched}) {
+    CAPTURE(nameOf(Outcome));
+    SUBCASE(std::string(nameOf(Outcome)).c_str()) {
+      for (int I = 0; I < 300; ++I)
+        World.run("t2", Outcome, milliseconds(1), milliseconds(20));
+      CHECK(World.standingOf("t2") == standing::Avoided);
+      CHECK(World.unused() == 1);
+    }
+  }
+
+  SUBCASE("avoids a slow target, and only that one") {
+    for (int I = 0; I < 600; ++I)
+      World.run("t2", outcome::Success, milliseconds(400), milliseconds(20));
+    CHECK(World.standingOf("t2") == standing::Avoided);
+    CHECK(World.unused() == 1);
+  }
+
+  SUBCASE("counts an unanswered request by its age, before its answer") {
+    // Whatever goes to t2 stays unanswered, and no deadline has passed yet.
+    for (int Round = 0; Round < 40; ++Round) {
+      std::vector<choice> Batch;
+      for (int I = 0; I < 18; ++I)
+        if (const auto Choice = World.choose())
+          Batch.push_back(*Choice);
+      World.Now += milliseconds(20);
+      for (const choice &Choice : Batch)
+        if (Choice.Target != "t2")
+          World.Selector.finish(Choice, {outcome::Success, milliseconds(20)},
+                                World.Now);
+    }
+    CHECK(World.standingOf("t2") == standing::Avoided);
+  }
+
+  SUBCASE("takes neither a busy refusal nor a cancelled wait for a fault") {
+    for (int I = 0; I < 600; ++I) {
+      const auto Choice = World.choose();
+      REQUIRE(Choice);
+      World.Now += milliseconds(10);
+      if (Choice->Target == "t1")
+        World.Selector.cancel(*Choice, World.Now);
+      else
+        World.Selector.finish(
+            *Choice,
+            {Choice->Target == "t2" ? outcome::RefusedNotRun : outcome::Success,
+             milliseconds(20)},
+            World.Now);
+    }
+    CHECK(World.unused() == 0);
+  }
+
+  SUBCASE("is not moved by the load that targets report") {
+    observation Lie{outcome::Success, milliseconds(20)};
+    Lie.ReportedLoad = 1000;
+    for (int I = 0; I < 200; ++I) {
+      const auto Choice = World.choose();
+      REQUIRE(Choice);
+      World.Now += milliseconds(10);
+      World.Selector.finish(*Choice, Lie, World.Now);
+    }
+    CHECK(World.unused() == 0);
+  }
+
+  SUBCASE("ejects nothing while all targets slow down or fail together") {
+    for (int I = 0; I < 1000; ++I) {
+      const auto Choice = World.choose();
+      REQUIRE(Choice);
+      World.Now += milliseconds(10);
+      World.Selector.finish(
+          *Choice,
+          {I % 3 == 0 ? outcome::Error : outcome::Success, milliseconds(I)},
+          World.Now);
+    }
+    CHECK(World.unused() == 0);
+  }
+
+  SUBCASE("never avoids more than the floor allows") {
+    for (int I = 0; I < 1000; ++I) {
+      const auto Choice = World.choose();
+      REQUIRE(Choice);
+      World.Now += milliseconds(10);
+      const bool Good = Choice->Target == "t0" || Choice->Target == "t1";
+      World.Selector.finish(
+          *Choice,
+          {Good ? outcome::Success : outcome::HalfAnswer, milliseconds(20)},
+          World.Now);
+      REQUIRE(World.unused() <= 3);
+    }
+  }
+}
+
+TEST_CASE("A target that recovered") {
+  world World;
+  for (int I = 0; I < 300; ++I)
+    World.run("t2", outcome::Error, milliseconds(1), milliseconds(20));
+  REQUIRE(World.standingOf("t2") == standing::Avoided);
+
+  SUBCASE("returns after a rest, through few requests at a time") {
+    World.Now += settings().BackOff;
+    World.Selector.tick(World.Now);
+    REQUIRE(World.standingOf("t2") == standing::Returning);
+    size_t Held = 0;
+    while (const auto Choice = World.choose())
+      Held += Choice->Target == "t2";
+    CHECK(Held == 1);
+  }
+
+  SUBCASE("is healthy again after some answers") {
+    World.Now += settings().BackOff;
+    for (int I = 0; I < 400; ++I)
+      World.run("", outcome::Success, milliseconds(20), milliseconds(20));
+    CHECK(World.standingOf("t2") == standing::Healthy);
+  }
+
+  SUBCASE("rests longer when it fails again") {
+    World.Now += settings().BackOff;
+    for (int I = 0; I < 100; ++I)
+      World.run("t2", outcome::Error, milliseconds(1), milliseconds(20));
+    World.Now += settings().BackOff;
+    World.Selector.tick(World.Now);
+    CHECK(World.standingOf("t2") == standing::Avoided);
+    World.Now += settings().BackOff;
+    World.Selector.tick(World.Now);
+    CHECK(World.standingOf("t2") == standing::Returning);
+  }
+}
+
+TEST_CASE("A leaving target gets no new work") {
+  world World;
+
+  SUBCASE("after it said so in an answer") {
+    const auto Choice = World.choose();
+    REQUIRE(Choice);
+    observation Last;
+    Last.Drain = drain_report{true, 5};
+    World.Selector.finish(*Choice, Last, World.Now);
+    CHECK(World.standingOf(Choice->Target) == standing::Draining);
+
+    SUBCASE("and peers hear of it by digest") {
+      world Peer;
+      digest Digest = World.Selector.makeDigest(World.Now);
+      Digest.Instance = "b";
+      CHECK(Peer.Selector.receive(Digest, Peer.Now));
+      CHECK(Peer.standingOf(Choice->Target) == standing::Draining);
+    }
+  }
+
+  SUBCASE("after the manifest said so") {
+    World.Service.Targets[3].Draining = true;
+    World.Selector.setServices({&World.Service, 1});
+    CHECK(World.standingOf("t3") == standing::Draining);
+    for (int I = 0; I < 100; ++I)
+      CHECK(World.run("", outcome::Success, {}, milliseconds(1)) != "t3");
+  }
+
+  SUBCASE("even when answers begun before say that it stays") {
+    const auto Early = World.choose();
+    REQUIRE(Early);
+    World.Now += milliseconds(5);
+    World.Selector.reportDrain("orders", Early->Target, {true, 5}, World.Now,
+                               World.Now);
+    World.Now += milliseconds(5);
+    observation Late;
+    Late.Drain = drain_report{false, 5};
+    World.Selector.finish(*Early, Late, World.Now);
+    CHECK(World.standingOf(Early->Target) == standing::Draining);
+  }
+
+  SUBCASE("until a probe hears that it came back") {
+    World.Selector.reportDrain("orders", "t1", {true, 5}, World.Now, World.Now);
+    CHECK(World.Selector.probesDue(World.Now).empty());
+    World.Now += settings().DrainProbeAfter;
+    REQUIRE(World.Selector.probesDue(World.Now).size() == 1);
+    CHECK(World.Selector.probesDue(World.Now).empty());
+    const boot_time Asked = World.Now;
+    World.Now += milliseconds(25);
+    World.Selector.reportDrain("orders", "t1", {false, 5}, Asked, World.Now);
+    CHECK(World.standingOf("t1") == standing::Healthy);
+  }
+}
