--- a/Source/Core/Target/Selector.cpp
+++ b/Source/Core/Target/Selector.cpp
@@ -226,7 +226,10 @@
 
 std::vector<target_status> target_selector::snapshot(boot_time Now) {
   std::vector<target_status> Status;
-  forEach([&](const service_state &State) { State.appendStatus(Status, Now); });
+  forEach([&](service_state &State) {
+    State.evaluate(Now);
+    State.appendStatus(Status, Now);
+  });
   return Status;
 }
 
--- a/Source/Core/Target/ServiceState.cpp
+++ b/Source/Core/Target/ServiceState.cpp
@@ -164,7 +164,9 @@
 }
 
 void service_state::evaluate(boot_time Now) {
-  if (Now - Evaluated < Settings.EvaluationPeriod)
+  // An ejection ends on time, also between two evaluations.
+  const bool Lapsed = !Ejections.empty() && Now >= EjectionsUntil;
+  if (!Lapsed && Now - Evaluated < Settings.EvaluationPeriod)
     return;
   Evaluated = Now;
   const std::vector<evidence_summary> Own = summaries(Now);
--- a/Source/UnitTests/Target/FloorLeaseTest.cpp
+++ b/Source/UnitTests/Target/FloorLeaseTest.cpp
@@ -1,45 +1,15 @@
 #include "Target/FloorLease.h"
 
-#include <map>
-
 #include <doctest/doctest.h>
 
+#include "MemoryTable.h"
+
 using namespace magnolia;
 using namespace magnolia::target;
 using std::chrono::seconds;
 
-namespace {
-
-/// A table in memory that can be away or lose the reply of a commit.
-struct table {
-  platform::table_service service() {
-    platform::table_service Service;
-    Service.Get =
-        [this](std::string_view Key) -> absl::StatusOr<platform::row> {
-      if (Away)
-        return absl::UnavailableError("away");
-      return Rows[std::string(Key)];
-    };
-    Service.Commit = [this](absl::Span<const platform::condition> Conditions,
-                            absl::Span<const platform::write> Writes) {
-      platform::row &Row = Rows[Conditions[0].Key];
-      if (Row.Version != Conditions[0].Version)
-        return absl::AbortedError("version");
-      Row = {Writes[0].Key, *Writes[0].Value, Row.Version + 1};
-      return LoseReplies ? absl::UnknownError("lost") : absl::OkStatus();
-    };
-    return Service;
-  }
-
-  std::map<std::string, platform::row> Rows;
-  bool Away = false;
-  bool LoseReplies = false;
-};
-
-} // namespace
-
 TEST_CASE("A floor lease") {
-  table Table;
+  test::memory_table Table;
   const platform::table_service Service = Table.service();
   const floor_lease_settings Settings;
   floor_lease First("floor/0", "a-1", Settings);
