Add the Link and Instance rooms: links by direction, membership, directory, planned stop

Peers' heartbeats carry whom each hears, so that a link cut one way is told from a dead instance; a leaving instance is known from any one word and by its incarnation, so that late heartbeats and the lagging list neither revive it nor mark its replacement. The directory names homes first, spread over failure domains in an order that differs by caller.

--- /dev/null
+++ b/Source/Core/Instance/Membership.cpp
@@ -0,0 +1,170 @@
+#include "Instance/Membership.h"
+
+#include <algorithm>
+#include <array>
+
+#include <absl/container/flat_hash_set.h>
+
+namespace magnolia::instance {
+namespace {
+
+constexpr std::array<std::string_view, static_cast<size_t>(presence::Count)>
+    PresenceNames = {"alive", "suspect", "leaving", "gone"};
+
+} // namespace
+
+std::string_view nameOf(presence Presence) {
+  return PresenceNames[static_cast<size_t>(Presence)];
+}
+
+membership::membership(instance_info Self, membership_settings Settings)
+    : Self(std::move(Self)), Settings(Settings),
+      Links(this->Self.Name, Settings.SuspectAfter) {}
+
+membership::record *membership::introduce(const instance_info &Info,
+                                          boot_time Now) {
+  const auto [Found, Added] = Records.try_emplace(Info.Name);
+  record &Record = Found->second;
+  if (!Added && Info.Incarnation < Record.Info.Incarnation)
+    return nullptr;
+  if (Added || Info.Incarnation > Record.Info.Incarnation) {
+    // Nothing that was known of the process before holds for this one.
+    Record = record();
+    Record.Introduced = Now;
+    Links.forget(Info.Name);
+  }
+  Record.Info = Info;
+  return &Record;
+}
+
+void membership::setRows(absl::Span<const instance_info> Rows, boot_time Now) {
+  const absl::MutexLock Lock(&Mutex);
+  for (auto &[Name, Record] : Records)
+    Record.HasRow = false;
+  for (const instance_info &Row : Rows) {
+    if (Row.Name == Self.Name)
+      continue;
+    if (record *Record = introduce(Row, Now))
+      Record->HasRow = true;
+  }
+  forgetGone(Now);
+}
+
+void membership::setList(absl::Span<const platform::listed_instance> List) {
+  const absl::MutexLock Lock(&Mutex);
+  for (const platform::listed_instance &Listed : List) {
+    const auto Found = Records.find(Listed.Name);
+    if (Found != Records.end())
+      Found->second.ListedLeaving = Listed.Leaving;
+  }
+}
+
+bool membership::receive(const heartbeat &Heartbeat, boot_time Now) {
+  const absl::MutexLock Lock(&Mutex);
+  if (Heartbeat.Info.Name == Self.Name)
+    return false;
+  record *Record = introduce(Heartbeat.Info, Now);
+  if (Record == nullptr)
+    return false;
+  // Leaving is for good: a late heartbeat does not take it back.
+  Record->Leaving |= Heartbeat.Leaving;
+  Record->Heard = Now;
+  if (Heartbeat.ConfigurationVersion >= Record->ConfigurationVersion) {
+    Record->ConfigurationVersion = Heartbeat.ConfigurationVersion;
+    Record->ConfigurationAge = Heartbeat.ConfigurationAge;
+  }
+  Links.heard(Heartbeat.Info.Name, Heartbeat.Info.FailureDomain,
+              Heartbeat.Hearings, Now);
+  for (const auto &[Name, Incarnation] : Heartbeat.KnownLeaving) {
+    if (Name == Self.Name) {
+      Record->KnowsSelfLeaving |= Incarnation == Self.Incarnation;
+      continue;
+    }
+    const auto Found = Records.find(Name);
+    if (Found != Records.end() && Found->second.Info.Incarnation == Incarnation)
+      Found->second.Leaving = true;
+  }
+  return true;
+}
+
+heartbeat membership::makeHeartbeat(uint64_t ConfigurationVersion,
+                                    duration ConfigurationAge,
+                                    boot_time Now) const {
+  const absl::MutexLock Lock(&Mutex);
+  heartbeat Heartbeat;
+  Heartbeat.Info = Self;
+  Heartbeat.Leaving = SelfLeaving;
+  Heartbeat.ConfigurationVersion = ConfigurationVersion;
+  Heartbeat.ConfigurationAge = ConfigurationAge;
+  Heartbeat.Hearings = Links.hearings(Now);
+  for (const auto &[Name, Record] : Records)
+    if (Record.Leaving)
+      Heartbeat.KnownLeaving.emplace_back(Name, Record.Info.Incarnation);
+  return Heartbeat;
+}
+
+void membership::leave() {
+  const absl::MutexLock Lock(&Mutex);
+  SelfLeaving = true;
+}
+
+bool membership::leavingKnownToAll(boot_time Now) const {
+  const absl::MutexLock Lock(&Mutex);
+  return SelfLeaving &&
+         std::all_of(Records.begin(), Records.end(), [&](const auto &Item) {
+           const record &Record = Item.second;
+           return Record.KnowsSelfLeaving ||
+                  presenceOf(Record, Now) == presence::Gone;
+         });
+}
+
+presence membership::presenceOf(const record &Record, boot_time Now) const {
+  const boot_time Known =
+      std::max(Record.Introduced, Links.lastHeard(Record.Info.Name));
+  const duration Silence = Now - Known;
+  if (Silence > Settings.GoneAfter)
+    return presence::Gone;
+  const bool SpeaksForItself = Record.Heard != boot_time() &&
+                               Now - Record.Heard <= Settings.SuspectAfter;
+  if (Record.Leaving || (Record.ListedLeaving && !SpeaksForItself))
+    return presence::Leaving;
+  return Silence > Settings.SuspectAfter ? presence::Suspect : presence::Alive;
+}
+
+void membership::forgetGone(boot_time Now) {
+  std::vector<std::string> Gone;
+  for (const auto &[Name, Record] : Records)
+    if (!Record.HasRow && presenceOf(Record, Now) == presence::Gone)
+      Gone.push_back(Name);
+  for (const std::string &Name : Gone) {
+    Links.forget(Name);
+    Records.erase(Name);
+  }
+}
+
+std::vector<member> membership::members(boot_time Now) const {
+  const absl::MutexLock Lock(&Mutex);
+  std::vector<member> Members;
+  Members.push_back({Self, SelfLeaving ? presence::Leaving : presence::Alive,
+                     link::link_state::TwoWay, 0, duration(0)});
+  for (const auto &[Name, Record] : Records) {
+    const duration SinceHeard =
+        Record.Heard == boot_time() ? duration(0) : Now - Record.Heard;
+    Members.push_back({Record.Info, presenceOf(Record, Now),
+                       Links.stateOf(Name, Now), Record.ConfigurationVersion,
+                       Record.ConfigurationAge + SinceHeard});
+  }
+  std::sort(Members.begin(), Members.end(),
+            [](const member &A, const member &B) {
+              return A.Info.Name < B.Info.Name;
+            });
+  return Members;
+}
+
+std::map<std::string, link::domain_links>
+membership::linksByDomain(boot_time Now) const {
+  const absl::MutexLock Lock(&Mutex);
+  return Links.byDomain(Now);
+}
+
+} // namespace magnolia::instance
--- /dev/null
+++ b/Source/UnitTests/Instance/DirectoryTest.cpp
@@ -0,0 +1,96 @@
+#include "Instance/Directory.h"
+
+#include <set>
+
+#include <doctest/doctest.h>
+
+using namespace magnolia::instance;
+
+namespace {
+
+const std::vector<std::string> Domains = {"Kolkata", "Howrah", "Siliguri"};
+
+std::vector<member> fleetOf(size_t Count) {
+  std::vector<member> Members(Count);
+  for (size_t I = 0; I < Count; ++I) {
+    Members[I].Info.Name = "i" + std::to_string(I);
+    Members[I].Info.CallerAddress = "10.0.0." + std::to_string(I);
+    Members[I].Info.FailureDomain = Domains[I % 3];
+  }
+  return Members;
+}
+
+std::set<std::string> addresses(const directory_answer &Answer) {
+  std::set<std::string> Addresses;
+  for (const directory_entry &Each : Answer.Instances)
+    Addresses.insert(Each.Address);
+  return Addresses;
+}
+
+} // namespace
+
+TEST_CASE("The directory") {
+  std::vector<member> Members = fleetOf(14);
+  const directory_settings Settings;
+  const std::vector<std::string> Homes = {"i4", "i8", "i12"};
+  directory_question Question;
+  Question.Homes = Homes;
+  Question.CallerSeed = 1;
+  const auto Answer = [&] {
+    return answerDirectory(Members, Question, Settings);
+  };
+
+  SUBCASE("names the homes first, then others in all failure domains") {
+    const directory_answer First = Answer();
+    REQUIRE(First.Instances.size() == Settings.Entries);
+    std::set<std::string> Front;
+    std::set<std::string> Rest;
+    for (size_t I = 0; I < 3; ++I) {
+      Front.insert(First.Instances[I].Address);
+      Rest.insert(First.Instances[I + 3].FailureDomain);
+    }
+    CHECK(Front == std::set<std::string>{"10.0.0.4", "10.0.0.8", "10.0.0.12"});
+    CHECK(Rest.size() == 3);
+    CHECK(First.KeepFor == Settings.KeepFor);
+  }
+
+  SUBCASE("begins in the caller's failure domain") {
+    Question.FailureDomain = "Siliguri";
+    CHECK(Answer().Instances[0].FailureDomain == "Siliguri");
+  }
+
+  SUBCASE("gives different callers different orders") {
+    std::set<std::string> Firsts;
+    for (Question.CallerSeed = 0; Question.CallerSeed < 40;
+         ++Question.CallerSeed)
+      Firsts.insert(Answer().Instances[0].Address);
+    CHECK(Firsts.size() == 3);
+  }
+
+  SUBCASE("leaves out leaving and suspect instances") {
+    Members[4].Presence = presence::Leaving;
+    Members[8].Presence = presence::Suspect;
+    for (Question.CallerSeed = 0; Question.CallerSeed < 40;
+         ++Question.CallerSeed) {
+      const auto Named = addresses(Answer());
+      CHECK_FALSE(Named.contains("10.0.0.4"));
+      CHECK_FALSE(Named.contains("10.0.0.8"));
+    }
+  }
+
+  SUBCASE("names suspect ones after itself where it hears nobody") {
+    for (size_t I = 1; I < Members.size(); ++I)
+      Members[I].Presence = presence::Suspect;
+    const directory_answer Alone = Answer();
+    CHECK(Alone.Instances.size() == Settings.Entries);
+    CHECK(Alone.Instances[0].Address == "10.0.0.0");
+    CHECK(Alone.KeepFor == Settings.KeepDoubtfulFor);
+  }
+
+  SUBCASE("names a leaving instance rather than none") {
+    for (member &Each : Members)
+      Each.Presence = presence::Gone;
+    Members[5].Presence = presence::Leaving;
+    CHECK(addresses(Answer()) == std::set<std::string>{"10.0.0.5"});
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Instance/MembershipTest.cpp
@@ -0,0 +1,106 @@
+#include "Instance/Membership.h"
+
+#include <doctest/doctest.h>
+
+using namespace magnolia;
+using namespace magnolia::instance;
+using std::chrono::seconds;
+
+namespace {
+
+instance_info info(const std::string &Name, uint64_t Incarnation = 1) {
+  return {Name,    Incarnation,          "boot-" + Name,
+          "Nitra", "127.0.0.1:1" + Name, "127.0.0.1:2" + Name};
+}
+
+heartbeat beat(const std::string &Name, uint64_t Incarnation = 1) {
+  heartbeat Heartbeat;
+  Heartbeat.Info = info(Name, Incarnation);
+  return Heartbeat;
+}
+
+} // namespace
+
+TEST_CASE("A membership view") {
+  membership View(info("a"), {});
+  boot_time Now(seconds(100));
+  const auto PresenceOf = [&](const std::string &Name) {
+    for (const member &Each : View.members(Now))
+      if (Each.Info.Name == Name)
+        return Each.Presence;
+    return presence::Count;
+  };
+  const std::vector<instance_info> Rows = {info("a"), info("b")};
+  View.setRows(Rows, Now);
+
+  SUBCASE("takes itself and an instance that was just introduced for alive") {
+    CHECK(PresenceOf("a") == presence::Alive);
+    CHECK(PresenceOf("b") == presence::Alive);
+  }
+
+  SUBCASE("lets a silent instance become suspect, then gone") {
+    View.receive(beat("b"), Now);
+    Now += seconds(4);
+    CHECK(PresenceOf("b") == presence::Suspect);
+    Now += seconds(30);
+    CHECK(PresenceOf("b") == presence::Gone);
+    View.receive(beat("b"), Now);
+    CHECK(PresenceOf("b") == presence::Alive);
+
+    SUBCASE("and forgets it once its row is gone too") {
+      Now += seconds(40);
+      View.setRows({}, Now);
+      CHECK(PresenceOf("b") == presence::Count);
+    }
+  }
+
+  SUBCASE("takes an instance for alive that another one hears") {
+    Now += seconds(10);
+    heartbeat Other = beat("c");
+    Other.Hearings = {{"b", seconds(1)}};
+    View.receive(Other, Now);
+    CHECK(PresenceOf("b") == presence::Alive);
+  }
+
+  SUBCASE("hears from a peer alone that an instance leaves") {
+    View.receive(beat("b"), Now);
+    heartbeat Other = beat("c");
+    Other.KnownLeaving = {{"b", 1}};
+    View.receive(Other, Now);
+    CHECK(PresenceOf("b") == presence::Leaving);
+
+    SUBCASE("which a late heartbeat does not take back") {
+      View.receive(beat("b"), Now);
+      CHECK(PresenceOf("b") == presence::Leaving);
+    }
+    SUBCASE("which says nothing of the process that replaces it") {
+      View.receive(beat("b", 2), Now);
+      CHECK(PresenceOf("b") == presence::Alive);
+      View.receive(Other, Now);
+      CHECK(PresenceOf("b") == presence::Alive);
+      CHECK_FALSE(View.receive(beat("b", 1), Now));
+    }
+  }
+
+  SUBCASE("believes the lagging list unless the instance speaks for itself") {
+    const std::vector<platform::listed_instance> List = {{"b", true}};
+    View.setList(List);
+    CHECK(PresenceOf("b") == presence::Leaving);
+    View.receive(beat("b"), Now);
+    CHECK(PresenceOf("b") == presence::Alive);
+  }
+
+  SUBCASE("knows when every living peer knows that it leaves") {
+    View.receive(beat("b"), Now);
+    View.receive(beat("c"), Now);
+    View.leave();
+    CHECK(View.makeHeartbeat(1, {}, Now).Leaving);
+    heartbeat Confirms = beat("b");
+    Confirms.KnownLeaving = {{"a", 1}};
+    View.receive(Confirms, Now);
+    CHECK_FALSE(View.leavingKnownToAll(Now));
+    Confirms.Info = info("c");
+    View.receive(Confirms, Now);
+    CHECK(View.leavingKnownToAll(Now));
+  }
+}
