Add the peer transport: one-way messages over HTTP/2 streams

Instances need to tell each other digests, loans and leaving without ever blocking a request. Queues are bounded for each peer and drop the oldest, links are rebuilt with jittered back-off, and pings find links that are dead or cut one way.

Ruled out: one connection for both directions, since two instances that connect at the same time would have to agree on which to keep; waiting for acknowledgement before the next message, which would cost a round trip each.

--- /dev/null
+++ b/Source/UnitTests/Net/Peer/PeerSessionTest.cpp
@@ -0,0 +1,121 @@
+#include "Net/Peer/PeerSession.h"
+
+#include <vector>
+
+#include <doctest/doctest.h>
+
+using namespace magnolia;
+using namespace magnolia::net;
+
+namespace {
+
+constexpr size_t AllOutput = size_t{64} * 1024 * 1024;
+
+/// A client and a server session joined without sockets.
+struct session_pair {
+  explicit session_pair(const peer_options &ClientOptions,
+                        const peer_options &ServerOptions) {
+    session_hooks ClientHooks;
+    ClientHooks.OnDone = [this](bool Done) { ++(Done ? Delivered : Refused); };
+    session_hooks ServerHooks;
+    ServerHooks.OnMessage = [this](peer_message Message) {
+      Messages.push_back(std::move(Message));
+    };
+    ServerHooks.OnRejected = [this] { ++Rejected; };
+    Client = peer_session::makeClient(ClientOptions, std::move(ClientHooks));
+    Server = peer_session::makeServer(ServerOptions, std::move(ServerHooks));
+  }
+
+  bool toServer() {
+    std::string Bytes;
+    return Client->fill(Bytes, AllOutput) && Server->receive(Bytes);
+  }
+
+  bool toClient() {
+    std::string Bytes;
+    return Server->fill(Bytes, AllOutput) && Client->receive(Bytes);
+  }
+
+  bool exchange() {
+    bool Ok = true;
+    for (int Round = 0; Round < 8; ++Round)
+      Ok = toServer() && toClient() && Ok;
+    return Ok;
+  }
+
+  bool submit(std::string_view From, std::string Body) {
+    return Client->submit(From, "quota", std::move(Body), {});
+  }
+
+  std::unique_ptr<peer_session> Client;
+  std::unique_ptr<peer_session> Server;
+  std::vector<peer_message> Messages;
+  size_t Delivered = 0;
+  size_t Refused = 0;
+  size_t Rejected = 0;
+};
+
+} // namespace
+
+TEST_CASE("A server session faces a client that") {
+  peer_options Wide;
+  Wide.MaxBodyBytes = size_t{4} * 1024 * 1024;
+  Wide.MaxStreams = 1000;
+  const peer_options Bounds;
+  session_pair Pair(Wide, Bounds);
+
+  SUBCASE("keeps the bounds: its messages arrive whole") {
+    const std::string Body(Bounds.MaxBodyBytes, '\0');
+    REQUIRE(Pair.submit("trnava-1", Body));
+    REQUIRE(Pair.submit("trnava-1", ""));
+    CHECK(Pair.exchange());
+    REQUIRE(Pair.Messages.size() == 2);
+    CHECK(Pair.Delivered == 2);
+    CHECK(Pair.Messages[0].Body.size() + Pair.Messages[1].Body.size() ==
+          Body.size());
+    CHECK(Pair.Messages[0].From == "trnava-1");
+    CHECK(Pair.Messages[0].Type == "quota");
+  }
+
+  SUBCASE("sends a body that is too long: it is refused, others are not") {
+    REQUIRE(Pair.submit("trnava-1", std::string(Bounds.MaxBodyBytes + 1, 'x')));
+    CHECK(Pair.exchange());
+    CHECK(Pair.Messages.empty());
+    CHECK(Pair.Rejected == 1);
+    CHECK(Pair.Refused == 1);
+    REQUIRE(Pair.submit("trnava-1", "next"));
+    CHECK(Pair.exchange());
+    CHECK(Pair.Messages.size() == 1);
+  }
+
+  SUBCASE("sends oversized headers: the stream is reset, others are not") {
+    REQUIRE(Pair.submit(std::string(Bounds.MaxHeaderBytes + 1, 'n'), "a"));
+    CHECK(Pair.exchange());
+    CHECK(Pair.Messages.empty());
+    CHECK(Pair.Rejected == 1);
+    REQUIRE(Pair.submit("trnava-1", "next"));
+    CHECK(Pair.exchange());
+    CHECK(Pair.Messages.size() == 1);
+  }
+
+  SUBCASE("names no sender: the message is refused") {
+    REQUIRE(Pair.submit("", "a"));
+    CHECK(Pair.exchange());
+    CHECK(Pair.Messages.empty());
+    CHECK(Pair.Rejected == 1);
+  }
+
+  SUBCASE("floods it with streams that never end: few stay open") {
+    const std::string Unfinished(Bounds.MaxBodyBytes * 2, 'x');
+    for (int Count = 0; Count < 500; ++Count)
+      Pair.submit("trnava-1", Unfinished);
+    Pair.toServer();
+    CHECK(Pair.Server->openStreams() > 0);
+    CHECK(Pair.Server->openStreams() <= Bounds.MaxStreams);
+    CHECK(Pair.Messages.empty());
+  }
+
+  SUBCASE("speaks another protocol: the session ends") {
+    CHECK_FALSE(Pair.Server->receive("GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Net/Peer/PeerTransportTest.cpp
@@ -0,0 +1,237 @@
+#include "Net/Peer/PeerTransport.h"
+
+#include <chrono>
+#include <functional>
+#include <thread>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <doctest/doctest.h>
+
+#include "RawSocket.h"
+
+using namespace magnolia;
+using namespace magnolia::net;
+using namespace magnolia::net::testing;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds Limit{20000};
+constexpr milliseconds Pause{2};
+
+/// Waits for a condition that another thread brings about.
+bool eventually(const std::function<bool()> &Condition) {
+  const auto End = std::chrono::steady_clock::now() + Limit;
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() > End)
+      return false;
+    std::this_thread::sleep_for(Pause);
+  }
+  return true;
+}
+
+/// Collects messages from a transport's thread.
+class inbox {
+public:
+  peer_transport::message_hook hook() {
+    return [this](peer_message Message) {
+      const absl::MutexLock Lock(&Mutex);
+      Messages.push_back(std::move(Message));
+    };
+  }
+
+  size_t size() const {
+    const absl::MutexLock Lock(&Mutex);
+    return Messages.size();
+  }
+
+  peer_message at(size_t Index) const {
+    const absl::MutexLock Lock(&Mutex);
+    return Messages.at(Index);
+  }
+
+private:
+  mutable absl::Mutex Mutex;
+  std::vector<peer_message> Messages ABSL_GUARDED_BY(Mutex);
+};
+
+/// Short times, so that dead links are found soon.
+peer_options quickOptions() {
+  peer_options Options;
+  Options.MessageLifetime = milliseconds(300);
+  Options.PingInterval = milliseconds(40);
+  Options.PingTimeout = milliseconds(200);
+  Options.FirstBackoff = milliseconds(5);
+  Options.MaxBackoff = milliseconds(20);
+  return Options;
+}
+
+std::unique_ptr<peer_transport>
+start(std::string_view Name, inbox &Inbox, const peer_options &Options = {},
+      std::string_view Address = "127.0.0.1:0") {
+  auto Transport = peer_transport::create(Address, Name, Inbox.hook(), Options);
+  REQUIRE_MESSAGE(Transport.ok(), Transport.status().ToString());
+  return *std::move(Transport);
+}
+
+} // namespace
+
+TEST_CASE("Two transports exchange messages") {
+  inbox TrnavaInbox;
+  inbox NitraInbox;
+  const auto Trnava = start("trnava-1", TrnavaInbox);
+  const auto Nitra = start("nitra-1", NitraInbox);
+
+  CHECK(
+      Trnava->send(Nitra->localAddress(), "quota/ask", std::string("\0b", 2)));
+  CHECK(Nitra->send(Trnava->localAddress(), "digest", ""));
+  REQUIRE(eventually([&] { return NitraInbox.size() == 1; }));
+  REQUIRE(eventually([&] { return TrnavaInbox.size() == 1; }));
+
+  SUBCASE("whole and with the name of their sender") {
+    CHECK(NitraInbox.at(0).From == "trnava-1");
+    CHECK(NitraInbox.at(0).Type == "quota/ask");
+    CHECK(NitraInbox.at(0).Body == std::string("\0b", 2));
+    CHECK(TrnavaInbox.at(0).From == "nitra-1");
+    CHECK(TrnavaInbox.at(0).Body.empty());
+  }
+
+  SUBCASE("and count each as sent, dropped or waiting") {
+    REQUIRE(Trnava->flush(Limit));
+    CHECK(Trnava->counters().Sent == 1);
+    CHECK(Trnava->counters().Dropped == 0);
+    CHECK(Trnava->counters().Received == 1);
+    CHECK(Trnava->lastHeard(Nitra->localAddress()).has_value());
+    REQUIRE(Trnava->peers().size() == 1);
+    CHECK(Trnava->peers()[0].Connected);
+  }
+
+  SUBCASE("but not one that is too long") {
+    const peer_options Options;
+    CHECK_FALSE(Trnava->send(Nitra->localAddress(), "digest",
+                             std::string(Options.MaxBodyBytes + 1, 'x')));
+    CHECK(Trnava->counters().Dropped == 1);
+    CHECK(Trnava->send(Nitra->localAddress(), "digest",
+                       std::string(Options.MaxBodyBytes, 'x')));
+    REQUIRE(eventually([&] { return NitraInbox.size() == 2; }));
+    CHECK(NitraInbox.at(1).Body.size() == Options.MaxBodyBytes);
+  }
+
+  SUBCASE("many of them, none lost on a healthy link") {
+    for (int Count = 0; Count < 1000; ++Count)
+      CHECK(Trnava->send(Nitra->localAddress(), "digest", "body"));
+    REQUIRE(eventually([&] { return NitraInbox.size() == 1001; }));
+  }
+
+  SUBCASE("until one forgets the other") {
+    Trnava->forget(Nitra->localAddress());
+    CHECK(Trnava->peers().empty());
+    CHECK_FALSE(Trnava->lastHeard(Nitra->localAddress()).has_value());
+  }
+
+  SUBCASE("and nobody else gets their port") {
+    inbox Ignored;
+    CHECK_FALSE(
+        peer_transport::create(Nitra->localAddress(), "nitra-2", Ignored.hook())
+            .ok());
+  }
+}
+
+TEST_CASE("A transport is sent malformed addresses and names") {
+  inbox Inbox;
+  CHECK_FALSE(peer_transport::create("nowhere", "a", Inbox.hook()).ok());
+  CHECK_FALSE(
+      peer_transport::create("127.0.0.1:0", "a b\r\n", Inbox.hook()).ok());
+  const auto Trnava = start("trnava-1", Inbox);
+  CHECK_FALSE(Trnava->send("nowhere", "digest", ""));
+  CHECK_FALSE(Trnava->send(Trnava->localAddress(), "a b", ""));
+}
+
+TEST_CASE("A peer that stops reading") {
+  std::string StuckAddress;
+  const unique_fd Stuck = listenRaw(StuckAddress);
+  inbox TrnavaInbox;
+  inbox NitraInbox;
+  const auto Trnava = start("trnava-1", TrnavaInbox, quickOptions());
+  const auto Nitra = start("nitra-1", NitraInbox, quickOptions());
+
+  constexpr size_t Count = 5000;
+  const std::string Body(size_t{16} * 1024, 'x');
+  for (size_t Index = 0; Index < Count; ++Index)
+    REQUIRE(Trnava->send(StuckAddress, "digest", Body));
+
+  SUBCASE("holds up no message to another peer") {
+    Trnava->send(Nitra->localAddress(), "digest", "fresh");
+    CHECK(eventually([&] { return NitraInbox.size() == 1; }));
+  }
+
+  SUBCASE("leaves a bounded queue, and every message is accounted for") {
+    const auto Peers = Trnava->peers();
+    REQUIRE(Peers.size() == 1);
+    CHECK(Peers[0].Queued <= quickOptions().MaxQueuedMessages);
+    CHECK(Trnava->flush(Limit));
+    CHECK(Trnava->counters().Dropped == Count);
+    CHECK(Trnava->counters().Sent == 0);
+  }
+
+  SUBCASE("is disconnected, though its side stays open") {
+    CHECK(eventually([&] { return Trnava->counters().Reconnects > 1; }));
+    CHECK_FALSE(Trnava->lastHeard(StuckAddress).has_value());
+  }
+}
+
+TEST_CASE("A peer that is restarted on its address gets messages again") {
+  inbox TrnavaInbox;
+  inbox NitraInbox;
+  const auto Trnava = start("trnava-1", TrnavaInbox, quickOptions());
+  auto Nitra = start("nitra-1", NitraInbox, quickOptions());
+  const std::string Address = Nitra->localAddress();
+  Trnava->send(Address, "digest", "before");
+  REQUIRE(eventually([&] { return NitraInbox.size() == 1; }));
+
+  Nitra.reset();
+  REQUIRE(eventually([&] { return Trnava->counters().Reconnects > 0; }));
+  Trnava->send(Address, "digest", "while away");
+  Nitra = start("nitra-1", NitraInbox, quickOptions(), Address);
+  REQUIRE(eventually([&] {
+    Trnava->send(Address, "digest", "after");
+    return NitraInbox.size() > 1 &&
+           NitraInbox.at(NitraInbox.size() - 1).Body == "after";
+  }));
+}
+
+TEST_CASE("The port of a transport gets") {
+  inbox TrnavaInbox;
+  inbox NitraInbox;
+  const auto Trnava = start("trnava-1", TrnavaInbox, quickOptions());
+  const auto Nitra = start("nitra-1", NitraInbox, quickOptions());
+  const unique_fd Raw = connectRaw(Trnava->localAddress());
+  REQUIRE(Raw.valid());
+
+  SUBCASE("garbage") { writeRaw(Raw, std::string(4096, '\x16')); }
+  SUBCASE("another protocol") { writeRaw(Raw, "GET / HTTP/1.1\r\n\r\n"); }
+  SUBCASE("a preface with garbage after it") {
+    writeRaw(Raw, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + std::string(999, 'x'));
+  }
+  SUBCASE("half of a preface and then silence") { writeRaw(Raw, "PRI * HT"); }
+  SUBCASE("nothing at all") {}
+
+  CHECK(readToEnd(Raw));
+  Nitra->send(Trnava->localAddress(), "digest", "fine");
+  CHECK(eventually([&] { return TrnavaInbox.size() == 1; }));
+}
+
+TEST_CASE("An address that answers garbage is retried without harm") {
+  std::string Address;
+  const unique_fd Listener = listenRaw(Address);
+  inbox Inbox;
+  const auto Trnava = start("trnava-1", Inbox, quickOptions());
+  Trnava->send(Address, "digest", "lost");
+  const unique_fd Raw = acceptRaw(Listener);
+  REQUIRE(Raw.valid());
+  writeRaw(Raw, "HTTP/1.1 400 Bad Request\r\n\r\n");
+  CHECK(readToEnd(Raw));
+  CHECK(Trnava->flush(Limit));
+  CHECK(Trnava->counters().Sent == 0);
+}
