--- a/Source/Net/Peer/PeerLoop.cpp
+++ b/Source/Net/Peer/PeerLoop.cpp
@@ -3,26 +3,24 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <span>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
 
-#include "Common/Log.h"
-
 namespace magnolia::net {
 namespace {
 
-using common::log_level;
 using std::chrono::milliseconds;
 
 constexpr uint64_t ListenerId = 0;
 constexpr uint64_t WakeId = 1;
 constexpr uint64_t FirstConnectionId = 2;
 
-constexpr size_t ReadBufferBytes = 64 * 1024;
-constexpr size_t OutputBufferBytes = 64 * 1024;
+constexpr size_t ReadBufferBytes = size_t{64} * 1024;
+constexpr size_t OutputBufferBytes = size_t{64} * 1024;
 constexpr size_t EventsPerWait = 64;
 constexpr milliseconds LongestWait{1000};
 constexpr uint32_t MaxBackoffDoublings = 16;
@@ -105,8 +103,9 @@
     const int Count = epoll_wait(Epoll.get(), Events.data(), EventsPerWait,
                                  static_cast<int>(Wait.count()));
     Now = common::boot_clock::now();
-    for (int Index = 0; Index < Count; ++Index)
-      dispatch(Events[Index].data.u64, Events[Index].events);
+    const auto Ready = static_cast<size_t>(std::max(Count, 0));
+    for (const epoll_event &Event : std::span(Events).first(Ready))
+      dispatch(Event.data.u64, Event.events);
     Timers.advance(Now);
   }
 }
