--- a/Source/Core/Contract/Snapshot.h
+++ b/Source/Core/Contract/Snapshot.h
@@ -21,7 +21,8 @@
   uint64_t version() const { return Content.Version; }
 
   /// The route with the longest prefix of \p Path that ends at a path segment,
-  /// or null.
+  /// or null. A query is ignored. Null also for paths that a target could
+  /// resolve to another prefix: dot segments, empty segments, encoded slashes.
   const route *findRoute(std::string_view Path) const;
 
   /// The service, or null.
--- a/Source/Core/Platform/Services.h
+++ b/Source/Core/Platform/Services.h
@@ -70,4 +70,11 @@
   std::function<absl::StatusOr<std::vector<listed_instance>>()> Read;
 };
 
+/// Everything that the platform provides.
+struct services {
+  table_service Table;
+  object_store Objects;
+  instance_list Instances;
+};
+
 } // namespace magnolia::platform
--- /dev/null
+++ b/Source/MagnoliaCtl/Main.cpp
@@ -0,0 +1,175 @@
+#include <cstdint>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+#include <thread>
+
+#include <CLI/CLI.hpp>
+
+#include "Common/Log.h"
+#include "MagnoliaCtl/Commands.h"
+#include "Net/Platform/PlatformClient.h"
+
+using namespace magnolia;
+using program::exit_code;
+
+namespace {
+
+constexpr int64_t DefaultWaitMs = 19'000;
+constexpr size_t DefaultAuditEntries = 20;
+
+struct arguments {
+  std::string Platform;
+  std::string Actor;
+  int64_t WaitMs = DefaultWaitMs;
+  bool NoWait = false;
+  std::string File;
+  std::string Workspace;
+  std::string KeyId;
+  size_t AuditEntries = DefaultAuditEntries;
+};
+
+using command = std::function<exit_code(const ctl::command_context &)>;
+
+/// The parsed command and whether it calls the platform.
+struct selection {
+  command Command;
+  bool NeedsPlatform = true;
+};
+
+void addWaiting(CLI::App &Command, arguments &Arguments) {
+  const std::map<std::string, int64_t> Units{
+      {"ms", 1}, {"s", 1000}, {"m", 60'000}};
+  Command
+      .add_option("--wait", Arguments.WaitMs,
+                  "longest wait until every instance has confirmed (19s)")
+      ->transform(
+          CLI::AsNumberWithUnit(Units, CLI::AsNumberWithUnit::UNIT_REQUIRED));
+  Command.add_flag("--no-wait", Arguments.NoWait,
+                   "return as soon as the change is accepted");
+}
+
+void addManifestCommands(CLI::App &App, arguments &Arguments,
+                         selection &Selection) {
+  CLI::App *Validate =
+      App.add_subcommand("validate", "check a manifest, without the platform");
+  Validate->add_option("manifest", Arguments.File, "YAML file")->required();
+  Validate->callback([&] {
+    Selection = {[&](const ctl::command_context &Context) {
+                   return ctl::validate(Context, Arguments.File);
+                 },
+                 false};
+  });
+
+  CLI::App *Diff =
+      App.add_subcommand("diff", "show what applying a manifest would change");
+  Diff->add_option("manifest", Arguments.File, "YAML file")->required();
+  Diff->callback([&] {
+    Selection.Command = [&](const ctl::command_context &Context) {
+      return ctl::printDiff(Context, Arguments.File);
+    };
+  });
+
+  CLI::App *Apply = App.add_subcommand("apply", "put a manifest in force");
+  Apply->add_option("manifest", Arguments.File, "YAML file")->required();
+  addWaiting(*Apply, Arguments);
+  Apply->callback([&] {
+    Selection.Command = [&](const ctl::command_context &Context) {
+      return ctl::apply(Context, Arguments.File);
+    };
+  });
+}
+
+void addKeyCommands(CLI::App &App, arguments &Arguments, selection &Selection) {
+  CLI::App *Key = App.add_subcommand("key", "issue and revoke callers' keys");
+  Key->require_subcommand(1);
+
+  CLI::App *Issue = Key->add_subcommand(
+      "issue", "create a key; its secret is printed once and kept nowhere");
+  Issue->add_option("workspace", Arguments.Workspace, "owner of the key")
+      ->required();
+  Issue->add_option("--id", Arguments.KeyId, "public name of the key");
+  addWaiting(*Issue, Arguments);
+  Issue->callback([&] {
+    Selection.Command = [&](const ctl::command_context &Context) {
+      return ctl::issueKey(Context, Arguments.Workspace, Arguments.KeyId);
+    };
+  });
+
+  CLI::App *Revoke = Key->add_subcommand("revoke", "end a key for good");
+  Revoke->add_option("id", Arguments.KeyId, "public name of the key")
+      ->required();
+  addWaiting(*Revoke, Arguments);
+  Revoke->callback([&] {
+    Selection.Command = [&](const ctl::command_context &Context) {
+      return ctl::revokeKey(Context, Arguments.KeyId);
+    };
+  });
+}
+
+void addReports(CLI::App &App, arguments &Arguments, selection &Selection) {
+  App.add_subcommand("status", "show the version that each instance serves")
+      ->callback([&] { Selection.Command = ctl::printStatus; });
+  App.add_subcommand("instances", "show the instances and their addresses")
+      ->callback([&] { Selection.Command = ctl::printInstances; });
+  CLI::App *Audit =
+      App.add_subcommand("audit", "show accepted changes, newest first");
+  Audit->add_option("--last", Arguments.AuditEntries,
+                    "how many changes to show");
+  Audit->callback([&] {
+    Selection.Command = [&](const ctl::command_context &Context) {
+      return ctl::printAudit(Context, Arguments.AuditEntries);
+    };
+  });
+}
+
+exit_code run(const arguments &Arguments, const selection &Selection) {
+  ctl::command_context Context;
+  Context.Actor = Arguments.Actor;
+  Context.Out = &std::cout;
+  Context.Error = &std::cerr;
+  Context.Sleep = [](std::chrono::milliseconds Delay) {
+    std::this_thread::sleep_for(Delay);
+  };
+  if (!Arguments.NoWait)
+    Context.Wait = std::chrono::milliseconds(Arguments.WaitMs);
+  if (!Selection.NeedsPlatform)
+    return Selection.Command(Context);
+  net::platform_client_options Options;
+  Options.Address = Arguments.Platform;
+  auto Services = net::connectPlatform(Options);
+  if (!Services.ok()) {
+    std::cerr << "--platform: " << Services.status().message() << "\n";
+    return exit_code::Usage;
+  }
+  Context.Services = *std::move(Services);
+  return Selection.Command(Context);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  CLI::App App{"Changes and shows the configuration of a magnoliafall fleet.",
+               "magnoliactl"};
+  arguments Arguments;
+  selection Selection;
+  App.set_version_flag("--version", "magnoliactl " MAGNOLIA_VERSION);
+  App.require_subcommand(1);
+  App.fallthrough();
+  App.add_option("--platform", Arguments.Platform, "IP:port of the platform")
+      ->envname("MAGNOLIA_PLATFORM");
+  App.add_option("--actor", Arguments.Actor,
+                 "who asks for the change, for the audit trail")
+      ->envname("MAGNOLIA_ACTOR");
+  addManifestCommands(App, Arguments, Selection);
+  addKeyCommands(App, Arguments, Selection);
+  addReports(App, Arguments, Selection);
+  try {
+    App.parse(Argc, Argv);
+  } catch (const CLI::ParseError &Error) {
+    return App.exit(Error) == 0 ? 0 : toInt(exit_code::Usage);
+  }
+  common::startLogging("magnoliactl", common::log_level::Warning);
+  return toInt(run(Arguments, Selection));
+}
--- /dev/null
+++ b/Source/MagnoliaCtl/Output.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <string>
+
+#include <absl/status/status.h>
+
+#include "Common/Time.h"
+#include "MagnoliaCtl/Commands.h"
+
+namespace magnolia::ctl {
+
+/// Prints \p Status as an error; the exit code that stands for it.
+program::exit_code fail(const command_context &Context,
+                        const absl::Status &Status);
+
+/// "2026-03-01T12:00:00Z".
+std::string formatTime(common::wall_time Time);
+
+} // namespace magnolia::ctl
