--- /dev/null
+++ b/Source/Net/Upstream/AnswerStream.cpp
@@ -0,0 +1,164 @@
+#include "Net/Upstream/AnswerStream.h"
+
+#include <absl/time/time.h>
+
+#include "Net/Upstream/Connection.h"
+
+namespace magnolia::net {
+
+using common::boot_clock;
+using common::boot_time;
+using common::error_kind;
+using request::attempt_outcome;
+
+answer_channel::answer_channel(size_t BufferLimit, std::function<void()> Notify)
+    : BufferLimit(BufferLimit), Notify(std::move(Notify)) {}
+
+bool answer_channel::attach(std::shared_ptr<connection> NewConnection) {
+  const absl::MutexLock Lock(&Mutex);
+  if (Cancelled)
+    return false;
+  Connection = std::move(NewConnection);
+  return true;
+}
+
+void answer_channel::detach() {
+  const absl::MutexLock Lock(&Mutex);
+  Connection.reset();
+}
+
+bool answer_channel::isCancelled() const {
+  const absl::MutexLock Lock(&Mutex);
+  return Cancelled;
+}
+
+void answer_channel::pushHead(answer_head NewHead) {
+  {
+    const absl::MutexLock Lock(&Mutex);
+    Head = std::move(NewHead);
+    Changed.SignalAll();
+  }
+  if (Notify)
+    Notify();
+}
+
+bool answer_channel::pushBody(std::string_view Bytes, boot_time Deadline) {
+  const absl::MutexLock Lock(&Mutex);
+  if (!awaitLocked(&answer_channel::hasRoomLocked, Deadline) || Cancelled)
+    return false;
+  Body.append(Bytes);
+  Changed.SignalAll();
+  return true;
+}
+
+void answer_channel::finish(const attempt_outcome &NewOutcome,
+                            absl::Status NewError) {
+  {
+    const absl::MutexLock Lock(&Mutex);
+    Outcome = NewOutcome;
+    Error = std::move(NewError);
+    Connection.reset();
+    Changed.SignalAll();
+  }
+  if (Notify)
+    Notify();
+}
+
+absl::StatusOr<answer_head> answer_channel::awaitHead(boot_time Deadline) {
+  const absl::MutexLock Lock(&Mutex);
+  if (!awaitLocked(&answer_channel::hasHeadOrEndLocked, Deadline))
+    return common::makeError(error_kind::DeadlineExceeded,
+                             "no answer within the time");
+  if (Head)
+    return *Head;
+  return Error;
+}
+
+absl::StatusOr<std::string> answer_channel::readChunk(boot_time Deadline) {
+  const absl::MutexLock Lock(&Mutex);
+  if (!awaitLocked(&answer_channel::hasBodyOrEndLocked, Deadline))
+    return common::makeError(error_kind::DeadlineExceeded,
+                             "the answer stalled");
+  if (!Body.empty()) {
+    std::string Chunk;
+    Chunk.swap(Body);
+    Changed.SignalAll();
+    return Chunk;
+  }
+  if (!Error.ok())
+    return Error;
+  return std::string();
+}
+
+std::optional<attempt_outcome>
+answer_channel::awaitOutcome(boot_time Deadline) {
+  const absl::MutexLock Lock(&Mutex);
+  awaitLocked(&answer_channel::isFinishedLocked, Deadline);
+  return Outcome;
+}
+
+bool answer_channel::hasHeadOrEnd() const {
+  const absl::MutexLock Lock(&Mutex);
+  return hasHeadOrEndLocked();
+}
+
+void answer_channel::cancel() {
+  const absl::MutexLock Lock(&Mutex);
+  if (Outcome)
+    return;
+  Cancelled = true;
+  if (Connection)
+    Connection->cancel();
+  Changed.SignalAll();
+}
+
+bool answer_channel::hasHeadOrEndLocked() const {
+  return Head.has_value() || Outcome.has_value();
+}
+
+bool answer_channel::hasBodyOrEndLocked() const {
+  return !Body.empty() || Outcome.has_value();
+}
+
+bool answer_channel::hasRoomLocked() const {
+  return Cancelled || Body.size() < BufferLimit;
+}
+
+bool answer_channel::isFinishedLocked() const { return Outcome.has_value(); }
+
+bool answer_channel::awaitLocked(bool (answer_channel::*Condition)() const,
+                                 boot_time Deadline) {
+  while (!(this->*Condition)()) {
+    const boot_time Now = boot_clock::now();
+    if (Now >= Deadline)
+      return false;
+    Changed.WaitWithTimeout(&Mutex, absl::FromChrono(Deadline - Now));
+  }
+  return true;
+}
+
+answer_stream::answer_stream(std::shared_ptr<answer_channel> Channel)
+    : Channel(std::move(Channel)) {}
+
+answer_stream::~answer_stream() {
+  if (Channel)
+    Channel->cancel();
+}
+
+absl::StatusOr<answer_head> answer_stream::awaitHead(boot_time Deadline) {
+  return Channel->awaitHead(Deadline);
+}
+
+absl::StatusOr<std::string> answer_stream::readChunk(boot_time Deadline) {
+  return Channel->readChunk(Deadline);
+}
+
+std::optional<attempt_outcome> answer_stream::awaitOutcome(boot_time Deadline) {
+  return Channel->awaitOutcome(Deadline);
+}
+
+bool answer_stream::hasHeadOrEnd() const { return Channel->hasHeadOrEnd(); }
+
+void answer_stream::cancel() { Channel->cancel(); }
+
+} // namespace magnolia::net
--- /dev/null
+++ b/Source/Net/Upstream/HttpExchange.cpp
@@ -0,0 +1,240 @@
+#include "Net/Upstream/HttpExchange.h"
+
+#include <algorithm>
+#include <array>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include "Common/StringView.h"
+#include "Net/Upstream/HeaderRules.h"
+
+namespace magnolia::net {
+namespace {
+
+using common::boot_clock;
+using common::error_kind;
+using common::toAbsl;
+
+constexpr int StatusServiceUnavailable = 503;
+constexpr int StatusNotModified = 304;
+constexpr size_t BodyBufferSize = size_t{16} * 1024;
+
+/// How long the short body of a target's refusal is waited for, so that its
+/// connection can be kept.
+constexpr std::chrono::milliseconds RefusalDrainTime{20};
+
+/// Sent where the caller named none, since cpp-httplib would name itself.
+constexpr const char *UserAgent = "magnoliafall";
+
+/// Headers that this room sets itself on requests, or that speak between
+/// target and instance only.
+constexpr std::array<std::string_view, 5> OwnHeaders = {
+    RequestIdHeader, DeadlineHeader, NotRunHeader, DrainingHeader,
+    "Content-Length"};
+
+bool isOwnHeader(std::string_view Name) {
+  return std::any_of(OwnHeaders.begin(), OwnHeaders.end(), [&](auto Own) {
+    return absl::EqualsIgnoreCase(toAbsl(Name), toAbsl(Own));
+  });
+}
+
+header_list endToEnd(const header_list &Headers) {
+  header_list Kept = withoutHopByHop(Headers);
+  std::erase_if(
+      Kept, [](const header_field &Field) { return isOwnHeader(Field.Name); });
+  return Kept;
+}
+
+/// Gives access to what cpp-httplib does between connect and close.
+class wire_client : public httplib::ClientImpl {
+public:
+  explicit wire_client(const std::string &Host) : ClientImpl(Host) {
+    set_url_encode(false);
+    set_decompress(false);
+    set_follow_location(false);
+  }
+
+  bool exchange(httplib::Stream &Stream, httplib::Request &Request,
+                httplib::Response &Response) {
+    httplib::Error Error = httplib::Error::Success;
+    return process_request(Stream, Request, Response, false, Error);
+  }
+};
+
+header_list headersOf(const httplib::Response &Response) {
+  header_list Headers;
+  Headers.reserve(Response.headers.size());
+  for (const auto &[Name, Value] : Response.headers)
+    Headers.push_back({Name, Value});
+  return Headers;
+}
+
+bool hasValue(const header_list &Headers, std::string_view Name,
+              std::string_view Value) {
+  const std::string *Found = findHeader(Headers, Name);
+  return Found != nullptr && *Found == Value;
+}
+
+} // namespace
+
+http_exchange::http_exchange(const upstream_settings &Settings,
+                             const upstream_request &Request,
+                             answer_channel &Channel)
+    : Settings(Settings), Request(Request), Channel(Channel) {}
+
+bool http_exchange::run(connection &Connection, const std::string &Address,
+                        std::chrono::milliseconds RemainingTime) {
+  socket_stream Stream(Connection, Settings.AnswerHeadLimit);
+  wire_client Client(Address.substr(0, Address.rfind(':')));
+  httplib::Request Wire = buildRequest(RemainingTime);
+  if (!Wire.has_header("Host"))
+    Wire.headers.emplace("Host", Address);
+  Wire.response_handler = [&](const httplib::Response &) {
+    return takeHead(Connection);
+  };
+  Wire.content_receiver = [&](const char *Bytes, size_t Size, uint64_t,
+                              uint64_t) {
+    return takeBody({Bytes, Size});
+  };
+  bool Whole = Client.exchange(Stream, Wire, Response);
+  HeadStarted = Connection.bytesRead() > 0;
+  if (!Stream.headFault().empty())
+    return fail(error_kind::TargetBroken, Stream.headFault());
+  // cpp-httplib calls no handler for answers that never have a body.
+  if (Whole && !headReceived())
+    Whole = takeHead(Connection);
+  if (!Whole || !endsWell(Stream))
+    return false;
+  Reusable = !ClosesAfter && !Stream.hasLeftover() && Connection.isQuiet();
+  return !Refused;
+}
+
+httplib::Request
+http_exchange::buildRequest(std::chrono::milliseconds RemainingTime) {
+  httplib::Request Wire;
+  Wire.method = Request.Method;
+  Wire.path = Request.Path;
+  for (const header_field &Field : endToEnd(Request.Headers))
+    Wire.headers.emplace(Field.Name, Field.Value);
+  Wire.headers.emplace(RequestIdHeader, Request.RequestId);
+  Wire.headers.emplace(DeadlineHeader, absl::StrCat(RemainingTime.count()));
+  if (!Wire.has_header("User-Agent"))
+    Wire.headers.emplace("User-Agent", UserAgent);
+  addBody(Wire);
+  return Wire;
+}
+
+void http_exchange::addBody(httplib::Request &Wire) {
+  const bool Streamed = static_cast<bool>(Request.ReadBody);
+  if (!Streamed && Request.Body.empty())
+    return;
+  Wire.is_chunked_content_provider_ = Streamed && !Request.BodyLength;
+  if (Wire.is_chunked_content_provider_)
+    Wire.headers.emplace("Transfer-Encoding", "chunked");
+  else
+    Wire.content_length_ = Streamed ? *Request.BodyLength : Request.Body.size();
+  Wire.content_provider_ = [this](size_t Offset, size_t Length,
+                                  httplib::DataSink &Sink) {
+    if (Request.ReadBody)
+      return provideBody(Length, Sink);
+    return Sink.write(Request.Body.data() + Offset, Length);
+  };
+}
+
+bool http_exchange::provideBody(size_t Remaining, httplib::DataSink &Sink) {
+  std::array<char, BodyBufferSize> Buffer;
+  const bool Chunks = !Request.BodyLength;
+  const size_t Room =
+      Chunks ? Buffer.size() : std::min(Buffer.size(), Remaining);
+  const auto Count = Request.ReadBody({Buffer.data(), Room});
+  if (!Count.ok())
+    return fail(error_kind::CallerGone, "the body of the request was cut");
+  if (*Count > 0)
+    return Sink.write(Buffer.data(), std::min(*Count, Room));
+  if (!Chunks)
+    return fail(error_kind::CallerGone, "the body of the request is short");
+  Sink.done();
+  return true;
+}
+
+bool http_exchange::takeHead(connection &Connection) {
+  HeadTime = boot_clock::now();
+  const header_list Headers = headersOf(Response);
+  Draining = hasValue(Headers, DrainingHeader, "1");
+  ClosesAfter = asksToClose(Headers) || Response.version != "HTTP/1.1";
+  Fault = checkHead(Headers);
+  if (Fault)
+    return Fault->Kind == error_kind::TargetRefused && takeRefusal(Connection);
+  answer_head Head;
+  Head.Status = Response.status;
+  Head.Headers = endToEnd(Headers);
+  if (!Chunked)
+    Head.BodyLength = BodyLength;
+  if (Response.status == StatusNotModified) {
+    // cpp-httplib would wait for a body.
+    Response.headers.erase("Transfer-Encoding");
+    Response.headers.erase("Content-Length");
+    Response.headers.emplace("Content-Length", "0");
+  }
+  Channel.pushHead(std::move(Head));
+  return true;
+}
+
+std::optional<answer_fault>
+http_exchange::checkHead(const header_list &Headers) {
+  const std::string *Id = findHeader(Headers, RequestIdHeader);
+  if (Id != nullptr && *Id != Request.RequestId)
+    return answer_fault{error_kind::AnswerMismatched,
+                        "the answer belongs to another request"};
+  if (!areHeadersClean(Headers))
+    return answer_fault{error_kind::TargetBroken,
+                        "a header of the answer holds a control character"};
+  const framing Framing =
+      framingOf(Request.Method, Response.status, Headers, BodyLength);
+  if (Framing == framing::Ambiguous)
+    return answer_fault{error_kind::TargetBroken,
+                        "the length of the answer is ambiguous"};
+  Chunked = Framing == framing::Chunked;
+  // Without the id this could be the refusal of another request.
+  if (Response.status == StatusServiceUnavailable && Id != nullptr &&
+      hasValue(Headers, NotRunHeader, "1"))
+    return answer_fault{error_kind::TargetRefused, "the target did not run it"};
+  if (BodyLength > Settings.AnswerBodyLimit)
+    return answer_fault{error_kind::AnswerTooLarge, "the answer is too large"};
+  return std::nullopt;
+}
+
+bool http_exchange::takeRefusal(connection &Connection) {
+  Refused = true;
+  Connection.setDeadline(
+      std::min(Request.Deadline, boot_clock::now() + RefusalDrainTime));
+  return true;
+}
+
+bool http_exchange::takeBody(std::string_view Bytes) {
+  BodyReceived += Bytes.size();
+  if (BodyReceived > Settings.AnswerBodyLimit)
+    return Refused
+               ? false
+               : fail(error_kind::AnswerTooLarge, "the answer is too large");
+  if (Refused)
+    return true;
+  return Channel.pushBody(Bytes, Request.Deadline);
+}
+
+bool http_exchange::endsWell(const socket_stream &Stream) {
+  // cpp-httplib takes a chunk without its line end for the last one.
+  if (Chunked && !Stream.endsWithLastChunk())
+    return false;
+  return Chunked || BodyReceived == BodyLength;
+}
+
+bool http_exchange::fail(error_kind Kind, std::string_view Detail) {
+  if (!Fault)
+    Fault = answer_fault{Kind, Detail};
+  return false;
+}
+
+} // namespace magnolia::net
--- /dev/null
+++ b/Source/Net/Upstream/HttpExchange.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <functional>
+#include <optional>
+
+#include <httplib.h>
+
+#include "Net/Upstream/AnswerStream.h"
+#include "Net/Upstream/SocketStream.h"
+#include "Net/Upstream/UpstreamPool.h"
+
+// Private to this room: includes the heavy header of cpp-httplib.
+namespace magnolia::net {
+
+/// A verdict on an answer that was found before its end.
+struct answer_fault {
+  common::error_kind Kind;
+  std::string_view Detail;
+};
+
+/// Writes one request to a connected stream with cpp-httplib and passes the
+/// answer into a channel while it comes.
+class http_exchange {
+public:
+  http_exchange(const upstream_settings &Settings,
+                const upstream_request &Request, answer_channel &Channel);
+
+  /// True when the whole answer was received.
+  bool run(connection &Connection, const std::string &Address,
+           std::chrono::milliseconds RemainingTime);
+
+  const std::optional<answer_fault> &fault() const { return Fault; }
+  bool headReceived() const { return HeadTime.has_value(); }
+  bool headStarted() const { return HeadStarted; }
+  int status() const { return Response.status; }
+  bool targetDraining() const { return Draining; }
+  /// Whether the connection may serve another request.
+  bool reusable() const { return Reusable; }
+  std::optional<common::boot_time> headTime() const { return HeadTime; }
+  std::optional<common::boot_time> writtenTime() const { return WrittenTime; }
+
+private:
+  httplib::Request buildRequest(std::chrono::milliseconds RemainingTime);
+  void addBody(httplib::Request &Wire);
+  bool provideBody(size_t Remaining, httplib::DataSink &Sink);
+  bool takeHead(connection &Connection);
+  std::optional<answer_fault> checkHead(const header_list &Headers);
+  bool takeRefusal(connection &Connection);
+  bool takeBody(std::string_view Bytes);
+  bool endsWell(const socket_stream &Stream);
+  bool fail(common::error_kind Kind, std::string_view Detail);
+
+  const upstream_settings &Settings;
+  const upstream_request &Request;
+  answer_channel &Channel;
+  httplib::Response Response;
+  std::optional<answer_fault> Fault;
+  std::optional<common::boot_time> HeadTime;
+  std::optional<common::boot_time> WrittenTime;
+  uint64_t BodyLength = 0;
+  uint64_t BodyReceived = 0;
+  bool Chunked = false;
+  bool HeadStarted = false;
+  bool Refused = false;
+  bool Draining = false;
+  bool ClosesAfter = false;
+  bool Reusable = false;
+};
+
+} // namespace magnolia::net
--- /dev/null
+++ b/Source/Net/Upstream/SocketStream.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+#include <httplib.h>
+
+#include "Net/Upstream/Connection.h"
+
+// Private to this room: includes the heavy header of cpp-httplib.
+namespace magnolia::net {
+
+/// Lets cpp-httplib read one answer from a connection and write one request to
+/// it. The end of the stream always reads as an error, so that a cut answer
+/// never looks whole.
+class socket_stream : public httplib::Stream {
+public:
+  /// Reading fails once the head of the answer is longer than \p HeadLimit.
+  socket_stream(connection &Connection, size_t HeadLimit);
+
+  bool is_readable() const override;
+  bool is_writable() const override;
+  ssize_t read(char *Bytes, size_t Size) override;
+  ssize_t write(const char *Bytes, size_t Size) override;
+  void get_remote_ip_and_port(std::string &Ip, int &Port) const override;
+  void get_local_ip_and_port(std::string &Ip, int &Port) const override;
+  socket_t socket() const override;
+
+  /// Why the head was refused; empty when it was not.
+  std::string_view headFault() const { return HeadFault; }
+
+  /// Whether the whole head was read.
+  bool headComplete() const { return HeadComplete; }
+
+  /// Whether the last bytes read are the last chunk and an empty trailer.
+  bool endsWithLastChunk() const;
+
+  /// Whether bytes were received that the answer did not need.
+  bool hasLeftover() const { return Begin != End; }
+
+private:
+  bool fill();
+  ssize_t readHeadByte(char *Byte);
+  ssize_t readBody(char *Bytes, size_t Size);
+  bool countHeadByte(char Byte);
+  ssize_t failHead(std::string_view Fault);
+  void rememberTail(const char *Bytes, size_t Size);
+
+  static constexpr size_t BufferSize = size_t{16} * 1024;
+  static constexpr std::string_view LastChunk = "0\r\n\r\n";
+
+  connection &Connection;
+  const size_t HeadLimit;
+  std::array<char, BufferSize> Buffer;
+  size_t Begin = 0;
+  size_t End = 0;
+
+  bool HeadComplete = false;
+  std::string_view HeadFault;
+  size_t HeadSize = 0;
+  size_t LineSize = 0;
+  bool InStatusLine = true;
+  /// What is left of the escape that stands for a percent sign.
+  std::string_view Escape;
+  std::string Tail;
+};
+
+} // namespace magnolia::net
--- /dev/null
+++ b/Source/Net/Upstream/UpstreamPool.cpp
@@ -0,0 +1,62 @@
+#include "Net/Upstream/UpstreamPool.h"
+
+#include "Net/Upstream/Attempt.h"
+#include "Net/Upstream/IdleConnections.h"
+#include "Net/Upstream/WorkerPool.h"
+
+namespace magnolia::net {
+
+using common::boot_clock;
+using common::error_kind;
+using common::execution;
+
+struct upstream_pool::state {
+  explicit state(const upstream_settings &Settings)
+      : Settings(Settings), Idle(Settings.IdlePerTarget, Settings.IdleTimeout),
+        Workers({.ThreadLimit = Settings.AttemptLimit}) {}
+
+  const upstream_settings Settings;
+  idle_connections Idle;
+  // Last, so that attempts end before what they use.
+  worker_pool Workers;
+};
+
+namespace {
+
+void refuse(answer_channel &Channel) {
+  request::attempt_outcome Outcome;
+  Outcome.Error = error_kind::QueueFull;
+  Outcome.Execution = execution::NotRun;
+  Outcome.Times.Started = boot_clock::now();
+  Outcome.Times.Finished = Outcome.Times.Started;
+  Channel.finish(Outcome, common::makeError(error_kind::QueueFull,
+                                            "too many attempts in flight"));
+}
+
+} // namespace
+
+upstream_pool::upstream_pool(const upstream_settings &Settings)
+    : State(std::make_unique<state>(Settings)) {}
+
+upstream_pool::~upstream_pool() = default;
+
+answer_stream upstream_pool::start(upstream_request Request,
+                                   std::string Address,
+                                   std::function<void()> Notify) {
+  auto Channel = std::make_shared<answer_channel>(
+      State->Settings.AnswerBufferLimit, std::move(Notify));
+  const bool Started =
+      State->Workers.tryRun([State = State.get(), Request = std::move(Request),
+                             Address = std::move(Address), Channel] {
+        runAttempt(State->Settings, State->Idle, Request, Address, *Channel);
+      });
+  if (!Started)
+    refuse(*Channel);
+  return answer_stream(std::move(Channel));
+}
+
+void upstream_pool::closeIdle() { State->Idle.closeOld(); }
+
+size_t upstream_pool::idleCount() const { return State->Idle.count(); }
+
+} // namespace magnolia::net
--- /dev/null
+++ b/Source/Net/Upstream/WorkerPool.cpp
@@ -0,0 +1,73 @@
+#include "Net/Upstream/WorkerPool.h"
+
+#include <system_error>
+#include <thread>
+
+#include <absl/time/time.h>
+
+namespace magnolia::net {
+
+worker_pool::worker_pool(const settings &Settings) : Settings(Settings) {}
+
+worker_pool::~worker_pool() {
+  const absl::MutexLock Lock(&Mutex);
+  Stopping = true;
+  Changed.SignalAll();
+  while (Threads > 0)
+    Ended.Wait(&Mutex);
+}
+
+bool worker_pool::tryRun(std::function<void()> Work) {
+  const absl::MutexLock Lock(&Mutex);
+  const bool NeedsThread = Idle <= Queue.size();
+  if (NeedsThread && Threads >= Settings.ThreadLimit)
+    return false;
+  if (NeedsThread) {
+    try {
+      std::thread([this] { serve(); }).detach();
+    } catch (const std::system_error &) {
+      return false; // The system has no more threads to give.
+    }
+    ++Threads;
+    ++Idle;
+  }
+  Queue.push_back(std::move(Work));
+  Changed.Signal();
+  return true;
+}
+
+size_t worker_pool::threadCount() const {
+  const absl::MutexLock Lock(&Mutex);
+  return Threads;
+}
+
+void worker_pool::serve() {
+  Mutex.Lock();
+  while (awaitWorkLocked()) {
+    std::function<void()> Work = std::move(Queue.front());
+    Queue.pop_front();
+    --Idle;
+    Mutex.Unlock();
+    Work();
+    Work = nullptr;
+    Mutex.Lock();
+    ++Idle;
+  }
+  --Idle;
+  --Threads;
+  Ended.SignalAll();
+  Mutex.Unlock();
+}
+
+bool worker_pool::awaitWorkLocked() {
+  const absl::Time Limit = absl::Now() + absl::FromChrono(Settings.IdleTime);
+  while (Queue.empty()) {
+    if (Stopping)
+      return false;
+    if (Changed.WaitWithDeadline(&Mutex, Limit) && Queue.empty())
+      return false;
+  }
+  return true;
+}
+
+} // namespace magnolia::net
