--- /dev/null
+++ b/Source/Core/Platform/ConfigFreshness.cpp
@@ -0,0 +1,77 @@
+#include "Platform/ConfigFreshness.h"
+
+#include <algorithm>
+#include <functional>
+#include <vector>
+
+namespace magnolia::platform {
+
+void config_freshness::addClaim(uint64_t Version, time Since) {
+  if (Version > Applied) {
+    time &Claim = LaterClaims.try_emplace(Version, Since).first->second;
+    Claim = std::max(Claim, Since);
+    return;
+  }
+  CompleteSince = std::max(CompleteSince.value_or(Since), Since);
+}
+
+void config_freshness::addAsked(const std::string &Peer) {
+  std::erase(Sample, Peer);
+  Sample.push_back(Peer);
+  if (Sample.size() <= Settings.MaxSample)
+    return;
+  Vouches.erase(Sample.front());
+  Sample.pop_front();
+}
+
+void config_freshness::addVouch(const std::string &Peer, uint64_t Version,
+                                time Asked) {
+  if (Version > Applied ||
+      std::find(Sample.begin(), Sample.end(), Peer) == Sample.end())
+    return;
+  time &Vouch = Vouches.try_emplace(Peer, Asked).first->second;
+  Vouch = std::max(Vouch, Asked);
+}
+
+void config_freshness::addHeard(uint64_t Version, time Now) {
+  if (Version <= Newest)
+    return;
+  if (!isBehind())
+    BehindSince = Now;
+  Newest = Version;
+}
+
+void config_freshness::setApplied(uint64_t Version) {
+  Applied = std::max(Applied, Version);
+  Newest = std::max(Newest, Applied);
+  const auto End = LaterClaims.upper_bound(Applied);
+  for (auto Claim = LaterClaims.begin(); Claim != End; ++Claim)
+    addClaim(Claim->first, Claim->second);
+  LaterClaims.erase(LaterClaims.begin(), End);
+}
+
+std::optional<config_freshness::time> config_freshness::vouchedSince() const {
+  const size_t SampleSize = std::min(PeerCount, Settings.MaxSample);
+  // This instance is one of SampleSize + 1; more than half must agree.
+  const size_t Needed = (SampleSize + 1) / 2;
+  if (Needed == 0 || Vouches.size() < Needed)
+    return std::nullopt;
+  std::vector<time> Times;
+  for (const auto &[Peer, Time] : Vouches)
+    Times.push_back(Time);
+  std::sort(Times.begin(), Times.end(), std::greater<>());
+  return Times[Needed - 1];
+}
+
+config_freshness::time config_freshness::keyedUntil() const {
+  if (Applied == 0)
+    return time::min();
+  const auto Since = std::max(CompleteSince, vouchedSince());
+  if (!Since)
+    return time::min();
+  const time Until = *Since + Settings.StaleAfter;
+  return isBehind() ? std::min(Until, BehindSince + Settings.StaleAfter)
+                    : Until;
+}
+
+} // namespace magnolia::platform
