--- a/Source/UnitTests/Net/Http/HttpServerTest.cpp
+++ b/Source/UnitTests/Net/Http/HttpServerTest.cpp
@@ -103,7 +103,7 @@
         "PUT / HTTP/1.1\r\nContent-Length: 4\r\n"
         "Transfer-Encoding: chunked";
     const std::string Smuggled = "GET /smuggled HTTP/1.1\r\n\r\n";
-    for (const std::string_view Head : {
+    for (const std::string_view Head : std::initializer_list<std::string_view>{
              "POST / HTTP/1.1\r\nContent-Length: 4\r\nContent-Length: 9",
              LengthAndChunks,
              "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked",
