--- /dev/null
+++ b/Source/Core/Quota/Account.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "Quota/Borrowings.h"
+#include "Quota/DemandMeter.h"
+#include "Quota/Gathering.h"
+#include "Quota/Holding.h"
+
+namespace magnolia::quota {
+
+/// What an account is told with each call.
+struct account_context {
+  const gate_options &Options;
+  instant Now;
+  /// Term of the shares that this instance holds.
+  expiry Lease;
+  /// The workspace's homes, best first.
+  absl::Span<const std::string> Homes;
+  /// Counts questions, loans and tickets of this process.
+  uint64_t &NextNumber;
+  /// This instance is stopping: it neither admits nor lends.
+  bool Stopping = false;
+};
+
+/// Everything about one workspace on one instance: its own rights, loans out
+/// and in, and requests that wait. Not thread-safe.
+class account {
+public:
+  account(std::string Workspace, nano_rate Rate, nano_tokens Capacity,
+          uint64_t Epoch, common::boot_time Since);
+
+  admission admit(const account_context &Context, common::boot_time Deadline,
+                  effects &Out);
+  bool spend(const permit &Permit, const account_context &Context,
+             effects &Out);
+  void cancel(const permit &Permit, const account_context &Context,
+              effects &Out);
+  void withdraw(uint64_t Ticket, const account_context &Context, effects &Out);
+  void handle(std::string_view Peer, const message &Message,
+              const account_context &Context, effects &Out);
+  void advance(const account_context &Context, effects &Out);
+
+  /// Brings the buckets up to \p Now.
+  void refresh(instant Now);
+  /// Changed rights by shares or configuration.
+  void resize(nano_rate Rate, nano_tokens Capacity, common::boot_time Now);
+  /// Shares were lost, see holding::forfeit().
+  void forfeit(uint64_t NewEpoch, common::boot_time Now);
+  /// Rights from before this time are not counted here.
+  common::boot_time rightsSince() const { return Since; }
+  /// Returns loans and refuses waiting requests, for a planned stop.
+  void release(const account_context &Context, effects &Out);
+
+  const holding &own() const { return Own; }
+  const borrowings &borrowed() const { return Borrowed; }
+
+  /// Nothing here changes with time but the bucket of the own rights.
+  bool quiet() const;
+
+private:
+  void onRequest(std::string_view Peer, const loan_request &Request,
+                 const account_context &Context, effects &Out);
+  void onGrant(std::string_view Peer, const loan_grant &Grant,
+               const account_context &Context, effects &Out);
+  nano_tokens usable(const account_context &Context) const;
+  permit reserveOne(const account_context &Context);
+  void serveWaiting(const account_context &Context, effects &Out);
+  void progress(const account_context &Context, effects &Out);
+  void askHomes(const account_context &Context, effects &Out);
+  void refuseWaiting(refusal Refusal, effects &Out);
+  refusal refusalNow(const account_context &Context) const;
+  duration timeUntilToken() const;
+  void returnSurplus(const account_context &Context, effects &Out);
+
+  std::string Workspace;
+  common::boot_time Since;
+  holding Own;
+  borrowings Borrowed;
+  gathering Gathering;
+  demand_meter Demand;
+};
+
+} // namespace magnolia::quota
--- /dev/null
+++ b/Source/Core/Quota/DemandMeter.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "Quota/Amount.h"
+
+namespace magnolia::quota {
+
+/// Exponentially weighted rate of arrivals.
+class demand_meter {
+public:
+  /// Counts one arrival.
+  void note(common::boot_time Now);
+
+  /// The rate of arrivals at \p Now.
+  nano_rate rate(common::boot_time Now) const;
+
+private:
+  /// Arrivals per second as of Last.
+  double PerSecond = 0;
+  common::boot_time Last;
+};
+
+} // namespace magnolia::quota
--- /dev/null
+++ b/Source/Core/Quota/HomeOrder.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/types/span.h>
+
+namespace magnolia::quota {
+
+/// An instance that can be a home.
+struct home_candidate {
+  std::string Instance;
+  std::string FailureDomain;
+};
+
+/// The partition of a workspace, the same on every instance.
+uint32_t partitionOf(std::string_view Workspace, uint32_t PartitionCount);
+
+/// The candidates in the order in which they should be homes of the partition:
+/// rendezvous order, with every failure domain used once before any is used
+/// again.
+std::vector<size_t> homeOrder(uint32_t Partition,
+                              absl::Span<const home_candidate> Candidates);
+
+} // namespace magnolia::quota
--- /dev/null
+++ b/Source/Core/Quota/RateGate.cpp
@@ -0,0 +1,163 @@
+#include "Quota/RateGate.h"
+
+#include "Common/Digest.h"
+#include "Common/StringView.h"
+
+namespace magnolia::quota {
+
+namespace {
+
+/// Numbers of a shard start at its index shifted by this many bits, so that no
+/// two shards give the same.
+constexpr unsigned NumberBits = 56;
+
+/// A seed unlike those of other uses of the hash.
+constexpr uint64_t ShardSeed = 2;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<rate_gate>>
+rate_gate::create(gate_options Options, gate_hooks Hooks) {
+  if (Options.LoanTerm <= duration::zero() ||
+      Options.AnswerTimeout <= duration::zero())
+    return absl::InvalidArgumentError("terms of the gate must be positive");
+  if (Options.ClockDrift < 0 || Options.ClockDrift >= 1)
+    return absl::InvalidArgumentError("clock drift must be in [0, 1)");
+  if (!Options.LendPolicy || !Hooks.Send || !Hooks.Resolved)
+    return absl::InvalidArgumentError("a hook of the gate is missing");
+  return std::unique_ptr<rate_gate>(
+      new rate_gate(std::move(Options), std::move(Hooks)));
+}
+
+rate_gate::rate_gate(gate_options Options, gate_hooks Hooks)
+    : Options(std::move(Options)), Hooks(std::move(Hooks)) {
+  for (size_t Index = 0; Index < ShardCount; ++Index) {
+    shard &Shard = Shards[Index];
+    const absl::MutexLock Lock(&Shard.Mutex);
+    Shard.NextNumber = (uint64_t{Index} << NumberBits) + 1;
+  }
+}
+
+rate_gate::shard &rate_gate::shardOf(std::string_view Workspace) {
+  return Shards[common::stableHash(Workspace, ShardSeed) % ShardCount];
+}
+
+expiry rate_gate::lease() const { return {LeaseBoot.load(), LeaseWall.load()}; }
+
+account_context rate_gate::contextOf(shard &Shard, std::string_view Workspace,
+                                     instant Now) const {
+  absl::Span<const std::string> Homes;
+  if (const partition_view *Partition = partitionIn(Shard, Workspace))
+    Homes = Partition->Homes;
+  return {Options, Now, lease(), Homes, Shard.NextNumber, Stopping.load()};
+}
+
+template <typename Function>
+bool rate_gate::withAccount(std::string_view Workspace, instant Now,
+                            Function &&Fn) {
+  shard &Shard = shardOf(Workspace);
+  const absl::MutexLock Lock(&Shard.Mutex);
+  const auto Found = Shard.Entries.find(common::toAbsl(Workspace));
+  if (Found == Shard.Entries.end())
+    return false;
+  account &Account = accountOf(Shard, Found->first, Found->second);
+  const account_context Context = contextOf(Shard, Workspace, Now);
+  Fn(Account, Context);
+  if (!Account.quiet())
+    Shard.Busy.insert(Found->first);
+  return true;
+}
+
+admission rate_gate::admit(std::string_view Workspace, instant Now,
+                           common::boot_time Deadline) {
+  effects Out;
+  admission Admission = refusal{refusal_reason::WorkspaceUnknown, {}};
+  withAccount(Workspace, Now,
+              [&](account &Account, const account_context &Context) {
+                Admission = Account.admit(Context, Deadline, Out);
+              });
+  carryOut(Out);
+  return Admission;
+}
+
+bool rate_gate::spend(const permit &Permit, instant Now) {
+  effects Out;
+  bool Spent = false;
+  withAccount(Permit.Workspace, Now,
+              [&](account &Account, const account_context &Context) {
+                Spent = Account.spend(Permit, Context, Out);
+              });
+  carryOut(Out);
+  return Spent;
+}
+
+void rate_gate::cancel(const permit &Permit, instant Now) {
+  effects Out;
+  withAccount(Permit.Workspace, Now,
+              [&](account &Account, const account_context &Context) {
+                Account.cancel(Permit, Context, Out);
+              });
+  carryOut(Out);
+}
+
+void rate_gate::withdraw(std::string_view Workspace, uint64_t Ticket,
+                         instant Now) {
+  effects Out;
+  withAccount(Workspace, Now,
+              [&](account &Account, const account_context &Context) {
+                Account.withdraw(Ticket, Context, Out);
+              });
+  carryOut(Out);
+}
+
+void rate_gate::handleMessage(std::string_view Peer, const message &Message,
+                              instant Now) {
+  effects Out;
+  withAccount(workspaceOf(Message), Now,
+              [&](account &Account, const account_context &Context) {
+                Account.handle(Peer, Message, Context, Out);
+              });
+  carryOut(Out);
+}
+
+void rate_gate::advance(instant Now) {
+  for (shard &Shard : Shards) {
+    effects Out;
+    advanceShard(Shard, Now, Out);
+    carryOut(Out);
+  }
+}
+
+void rate_gate::advanceShard(shard &Shard, instant Now, effects &Out) {
+  const absl::MutexLock Lock(&Shard.Mutex);
+  std::vector<std::string> Quiet;
+  for (const std::string &Workspace : Shard.Busy) {
+    const auto Found = Shard.Entries.find(Workspace);
+    if (Found == Shard.Entries.end() || !Found->second.Account) {
+      Quiet.push_back(Workspace);
+      continue;
+    }
+    const account_context Context = contextOf(Shard, Workspace, Now);
+    Found->second.Account->advance(Context, Out);
+    if (Found->second.Account->quiet())
+      Quiet.push_back(Workspace);
+  }
+  for (const std::string &Workspace : Quiet)
+    Shard.Busy.erase(Workspace);
+  if (Now.Boot >= Shard.NextSweep)
+    sweep(Shard, Now);
+}
+
+void rate_gate::setLease(expiry Lease) {
+  LeaseBoot.store(Lease.Boot);
+  LeaseWall.store(Lease.Wall);
+}
+
+void rate_gate::carryOut(const effects &Effects) const {
+  for (const outgoing &Outgoing : Effects.Messages)
+    Hooks.Send(Outgoing.Peer, Outgoing.Message);
+  for (const resolution &Resolution : Effects.Resolved)
+    Hooks.Resolved(Resolution);
+}
+
+} // namespace magnolia::quota
--- /dev/null
+++ b/Source/Core/Quota/RateGate.h
@@ -0,0 +1,148 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/status/statusor.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/types/span.h>
+
+#include "Contract/Manifest.h"
+#include "Quota/Account.h"
+#include "Quota/ShareView.h"
+
+namespace magnolia::quota {
+
+/// Called without any lock of the gate held, from the thread that called the
+/// gate.
+struct gate_hooks {
+  /// Sends to a peer; may lose, delay, reorder or duplicate the message.
+  std::function<void(const std::string &Peer, const message &Message)> Send;
+  /// Answers a ticket that admit() gave.
+  std::function<void(const resolution &Resolution)> Resolved;
+};
+
+/// Admission of requests by their workspace's rate and burst, which are counted
+/// over the fleet: tokens come from this instance's shares and from loans of
+/// its peers. Free of clocks and sockets. Thread-safe; workspaces are spread
+/// over shards, each with its own lock.
+class rate_gate {
+public:
+  /// InvalidArgument where a term is not positive, the drift is not in [0, 1),
+  /// or a hook is missing.
+  static absl::StatusOr<std::unique_ptr<rate_gate>> create(gate_options Options,
+                                                           gate_hooks Hooks);
+
+  /// Asks for the right to send one request, before \p Deadline.
+  admission admit(std::string_view Workspace, instant Now,
+                  common::boot_time Deadline);
+
+  /// Spends the permit: call right before the request is written. False if its
+  /// rights have ended meanwhile; the request must then be refused as not run.
+  bool spend(const permit &Permit, instant Now);
+
+  /// Gives back a permit whose request will not be written.
+  void cancel(const permit &Permit, instant Now);
+
+  /// Forgets a ticket whose caller is gone.
+  void withdraw(std::string_view Workspace, uint64_t Ticket, instant Now);
+
+  /// Takes a message that came from \p Peer.
+  void handleMessage(std::string_view Peer, const message &Message,
+                     instant Now);
+
+  /// Ends waits and returns loans that are over. Call every few milliseconds.
+  void advance(instant Now);
+
+  /// Takes over the rates of a configuration.
+  void setConfiguration(absl::Span<const contract::workspace> Workspaces,
+                        instant Now);
+
+  /// Takes over what the share rows say, see share_keeper.
+  void setShares(const share_view_ptr &View, instant Now);
+
+  /// Sets the end of this instance's lease, inside which shares are used.
+  void setLease(expiry Lease);
+
+  /// For a planned stop: admits and lends no more, and returns loans. Permits
+  /// given before can still be spent.
+  void release(instant Now);
+
+  /// Time until the last loan cut from this instance's shares has ended.
+  duration longestLoan(instant Now);
+
+  /// Workspaces whose rights are not just a bucket that filled undisturbed.
+  size_t activeAccounts();
+
+private:
+  /// A workspace of the configuration. Its account exists while it differs
+  /// from a bucket that has filled undisturbed since Since.
+  struct entry {
+    nano_rate Rate = 0;
+    nano_tokens Burst = 0;
+    common::boot_time Since;
+    /// Gone from the configuration, kept until its loans have ended.
+    bool Removed = false;
+    std::unique_ptr<account> Account;
+  };
+
+  struct shard {
+    absl::Mutex Mutex;
+    absl::flat_hash_map<std::string, entry> Entries ABSL_GUARDED_BY(Mutex);
+    /// Workspaces whose accounts change with time.
+    absl::flat_hash_set<std::string> Busy ABSL_GUARDED_BY(Mutex);
+    share_view_ptr Shares ABSL_GUARDED_BY(Mutex);
+    uint64_t NextNumber ABSL_GUARDED_BY(Mutex) = 0;
+    common::boot_time NextSweep ABSL_GUARDED_BY(Mutex);
+  };
+
+  /// The part of a workspace's rights that this instance holds.
+  struct part {
+    nano_rate Rate = 0;
+    nano_tokens Capacity = 0;
+    common::boot_time Since;
+  };
+
+  static constexpr size_t ShardCount = 16;
+
+  rate_gate(gate_options Options, gate_hooks Hooks);
+
+  shard &shardOf(std::string_view Workspace);
+  expiry lease() const;
+  static const partition_view *partitionIn(const shard &Shard,
+                                           std::string_view Workspace)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Shard.Mutex);
+  account_context contextOf(shard &Shard, std::string_view Workspace,
+                            instant Now) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Shard.Mutex);
+  part partOf(const shard &Shard, std::string_view Workspace,
+              const entry &Entry) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Shard.Mutex);
+  account &accountOf(shard &Shard, const std::string &Workspace, entry &Entry)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Shard.Mutex);
+  template <typename Function>
+  bool withAccount(std::string_view Workspace, instant Now, Function &&Fn);
+  void configure(const contract::workspace &Workspace, instant Now);
+  static void removeUnused(shard &Shard, instant Now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Shard.Mutex);
+  void applyShares(shard &Shard, const share_view_ptr &View, instant Now);
+  void advanceShard(shard &Shard, instant Now, effects &Out);
+  void sweep(shard &Shard, instant Now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Shard.Mutex);
+  void carryOut(const effects &Effects) const;
+
+  const gate_options Options;
+  const gate_hooks Hooks;
+  std::atomic<common::boot_time> LeaseBoot{common::boot_time::min()};
+  std::atomic<common::wall_time> LeaseWall{common::wall_time::min()};
+  std::atomic<bool> Stopping{false};
+  std::array<shard, ShardCount> Shards;
+};
+
+} // namespace magnolia::quota
--- /dev/null
+++ b/Source/Core/Quota/RateGateRights.cpp
@@ -0,0 +1,186 @@
+#include <algorithm>
+
+#include "Common/StringView.h"
+#include "Quota/HomeOrder.h"
+#include "Quota/RateGate.h"
+
+namespace magnolia::quota {
+
+namespace {
+
+/// Accounts that are full again are dropped this often.
+constexpr duration SweepPeriod = std::chrono::seconds(10);
+
+/// Larger rates and bursts than this are taken for it.
+constexpr double LargestAmount = 1e9 * static_cast<double>(OneToken);
+
+int64_t toNano(double Amount) {
+  return static_cast<int64_t>(
+      std::clamp(Amount * static_cast<double>(OneToken), 0.0, LargestAmount));
+}
+
+} // namespace
+
+void rate_gate::setConfiguration(
+    absl::Span<const contract::workspace> Workspaces, instant Now) {
+  absl::flat_hash_set<std::string> Present;
+  for (const contract::workspace &Workspace : Workspaces)
+    Present.insert(Workspace.Name);
+  for (shard &Shard : Shards) {
+    const absl::MutexLock Lock(&Shard.Mutex);
+    for (auto &[Name, Entry] : Shard.Entries)
+      Entry.Removed = !Present.contains(Name);
+    removeUnused(Shard, Now);
+  }
+  for (const contract::workspace &Workspace : Workspaces)
+    configure(Workspace, Now);
+}
+
+void rate_gate::removeUnused(shard &Shard, instant Now) {
+  // Loans outlive the workspace: if it comes back before they end, its rights
+  // must still lack what was lent.
+  absl::erase_if(Shard.Entries, [&](auto &Element) {
+    entry &Entry = Element.second;
+    if (!Entry.Removed)
+      return false;
+    if (!Entry.Account || Entry.Account->quiet())
+      return true;
+    Entry.Rate = 0;
+    Entry.Burst = 0;
+    Entry.Account->resize(0, 0, Now.Boot);
+    return false;
+  });
+}
+
+void rate_gate::configure(const contract::workspace &Workspace, instant Now) {
+  shard &Shard = shardOf(Workspace.Name);
+  const absl::MutexLock Lock(&Shard.Mutex);
+  const auto [Found, New] = Shard.Entries.try_emplace(Workspace.Name);
+  entry &Entry = Found->second;
+  const nano_rate Rate = toNano(Workspace.Rate);
+  const nano_tokens Burst = toNano(Workspace.Burst);
+  if (New) {
+    // A workspace that was removed and comes back must not bring a burst.
+    Entry.Since = Now.Boot;
+    Entry.Rate = Rate;
+    Entry.Burst = Burst;
+    return;
+  }
+  if (Entry.Rate == Rate && Entry.Burst == Burst)
+    return;
+  // The account has to know what was earned by the old rate.
+  account &Account = accountOf(Shard, Found->first, Entry);
+  Account.refresh(Now);
+  Entry.Rate = Rate;
+  Entry.Burst = Burst;
+  Entry.Since = Now.Boot;
+  const part Part = partOf(Shard, Workspace.Name, Entry);
+  Account.resize(Part.Rate, Part.Capacity, Now.Boot);
+}
+
+void rate_gate::setShares(const share_view_ptr &View, instant Now) {
+  for (shard &Shard : Shards)
+    applyShares(Shard, View, Now);
+}
+
+void rate_gate::applyShares(shard &Shard, const share_view_ptr &View,
+                            instant Now) {
+  const absl::MutexLock Lock(&Shard.Mutex);
+  Shard.Shares = View;
+  for (auto &[Workspace, Entry] : Shard.Entries) {
+    if (!Entry.Account)
+      continue;
+    const part Part = partOf(Shard, Workspace, Entry);
+    const partition_view *Partition = partitionIn(Shard, Workspace);
+    if (!Partition || Partition->LostAt > Entry.Account->rightsSince())
+      Entry.Account->forfeit(Shard.NextNumber++, Now.Boot);
+    Entry.Account->resize(Part.Rate, Part.Capacity, Now.Boot);
+  }
+}
+
+rate_gate::part rate_gate::partOf(const shard &Shard,
+                                  std::string_view Workspace,
+                                  const entry &Entry) const {
+  const partition_view *Partition = partitionIn(Shard, Workspace);
+  if (!Partition)
+    return {0, 0, Entry.Since};
+  const int64_t SlotCount = Shard.Shares->SlotCount;
+  part Part;
+  // Divided before multiplied, so that all slots together never exceed the
+  // whole. A clock that runs fast must not earn more than the rate.
+  Part.Capacity = Entry.Burst / SlotCount * Partition->Held;
+  const nano_rate Rate = Entry.Rate / SlotCount * Partition->Held;
+  Part.Rate = static_cast<nano_rate>(static_cast<double>(Rate) *
+                                     (1 - Options.ClockDrift));
+  Part.Since = std::max(Entry.Since, Partition->Since);
+  return Part;
+}
+
+const partition_view *rate_gate::partitionIn(const shard &Shard,
+                                             std::string_view Workspace) {
+  if (!Shard.Shares || Shard.Shares->Partitions.empty())
+    return nullptr;
+  const auto &Partitions = Shard.Shares->Partitions;
+  const auto Count = static_cast<uint32_t>(Partitions.size());
+  return &Partitions[partitionOf(Workspace, Count)];
+}
+
+account &rate_gate::accountOf(shard &Shard, const std::string &Workspace,
+                              entry &Entry) {
+  if (Entry.Account)
+    return *Entry.Account;
+  const part Part = partOf(Shard, Workspace, Entry);
+  Entry.Account = std::make_unique<account>(Workspace, Part.Rate, Part.Capacity,
+                                            Shard.NextNumber++, Part.Since);
+  return *Entry.Account;
+}
+
+void rate_gate::release(instant Now) {
+  Stopping.store(true);
+  for (shard &Shard : Shards) {
+    effects Out;
+    {
+      const absl::MutexLock Lock(&Shard.Mutex);
+      for (auto &[Workspace, Entry] : Shard.Entries)
+        if (Entry.Account)
+          Entry.Account->release(contextOf(Shard, Workspace, Now), Out);
+    }
+    carryOut(Out);
+  }
+}
+
+duration rate_gate::longestLoan(instant Now) {
+  common::boot_time Last = Now.Boot;
+  for (shard &Shard : Shards) {
+    const absl::MutexLock Lock(&Shard.Mutex);
+    for (auto &[Workspace, Entry] : Shard.Entries)
+      if (Entry.Account)
+        Last = std::max(Last, Entry.Account->own().lastLoanEnd(Now.Boot));
+  }
+  return Last - Now.Boot;
+}
+
+size_t rate_gate::activeAccounts() {
+  size_t Count = 0;
+  for (shard &Shard : Shards) {
+    const absl::MutexLock Lock(&Shard.Mutex);
+    for (const auto &[Workspace, Entry] : Shard.Entries)
+      Count += Entry.Account ? 1 : 0;
+  }
+  return Count;
+}
+
+void rate_gate::sweep(shard &Shard, instant Now) {
+  Shard.NextSweep = Now.Boot + SweepPeriod;
+  removeUnused(Shard, Now);
+  for (auto &[Workspace, Entry] : Shard.Entries) {
+    if (!Entry.Account || !Entry.Account->quiet())
+      continue;
+    Entry.Account->refresh(Now);
+    const token_bucket &Bucket = Entry.Account->own().bucket();
+    if (Bucket.reserved() == 0 && Bucket.available() == Bucket.capacity())
+      Entry.Account.reset();
+  }
+}
+
+} // namespace magnolia::quota
--- /dev/null
+++ b/Source/Core/Quota/ShareKeeper.cpp
@@ -0,0 +1,250 @@
+#include "Quota/ShareKeeper.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "Common/Digest.h"
+#include "Common/StringView.h"
+
+namespace magnolia::quota {
+
+namespace {
+
+constexpr size_t RandomNameBytes = 8;
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<share_keeper>>
+share_keeper::create(keeper_options Options, platform::table_service Table,
+                     keeper_hooks Hooks) {
+  if (Options.Instance.empty() || Options.Process.empty())
+    return absl::InvalidArgumentError("instance and process need names");
+  if (Options.LeaseTerm <= Options.RenewPeriod ||
+      Options.LeaseTerm <= Options.LoanTerm ||
+      Options.LoanTerm <= duration::zero())
+    return absl::InvalidArgumentError(
+        "the lease term must exceed the renewal period and the loan term");
+  if (Options.ClockSkew < duration::zero() || Options.ClockDrift < 0 ||
+      Options.ClockDrift >= 1)
+    return absl::InvalidArgumentError("clock skew or drift is out of range");
+  if (!Table.Get || !Table.Scan || !Table.Commit || !Hooks.SharesChanged ||
+      !Hooks.LeaseChanged || !Hooks.LongestLoan)
+    return absl::InvalidArgumentError("a hook of the keeper is missing");
+  return std::unique_ptr<share_keeper>(
+      new share_keeper(std::move(Options), std::move(Table), std::move(Hooks)));
+}
+
+share_keeper::share_keeper(keeper_options Options,
+                           platform::table_service Table, keeper_hooks Hooks)
+    : Options(std::move(Options)), Table(std::move(Table)),
+      Hooks(std::move(Hooks)) {}
+
+absl::Status share_keeper::step(instant Now,
+                                absl::Span<const home_candidate> Live) {
+  if (Released)
+    return absl::OkStatus();
+  if (Layout.PartitionCount == 0)
+    if (absl::Status Status = loadLayout(); !Status.ok())
+      return Status;
+  if (LeaseId.empty())
+    if (absl::Status Status = open(Now); !Status.ok())
+      return Status;
+  if (Now.Boot >= NextRenewal)
+    if (absl::Status Status = renew(Now); !Status.ok())
+      return Status;
+  if (Now.Boot < NextRefresh)
+    return absl::OkStatus();
+  return refresh(Now, Live);
+}
+
+absl::Status share_keeper::loadLayout() {
+  const std::string Key(LayoutKey);
+  absl::StatusOr<platform::row> Row = Table.Get(Key);
+  if (!Row.ok())
+    return Row.status();
+  if (Row->Version == 0) {
+    // Whoever comes first decides for the fleet; the answer does not matter,
+    // since the row is read back.
+    Table
+        .Commit({platform::condition{Key, 0}},
+                {platform::write{Key, encode(Options.Layout)}})
+        .IgnoreError();
+    Row = Table.Get(Key);
+    if (!Row.ok())
+      return Row.status();
+    if (Row->Version == 0)
+      return absl::UnavailableError("the layout row is not written yet");
+  }
+  const absl::StatusOr<layout_row> Read = decodeLayout(Row->Value);
+  if (!Read.ok())
+    return Read.status();
+  Layout = *Read;
+  Published.assign(Layout.PartitionCount, {});
+  return absl::OkStatus();
+}
+
+absl::Status share_keeper::open(instant Now) {
+  const absl::StatusOr<lease_map> Leases = scanLeases();
+  if (!Leases.ok())
+    return Leases.status();
+  if (const auto Predecessor = findPredecessor(*Leases))
+    return resume(Predecessor->first, Predecessor->second, Now);
+  return openFresh(Now);
+}
+
+std::optional<std::pair<std::string, share_keeper::seen_lease>>
+share_keeper::findPredecessor(const lease_map &Leases) const {
+  if (!Options.BoundExclusively)
+    return std::nullopt;
+  for (const auto &[Id, Lease] : Leases) {
+    const lease_row &Row = Lease.Row;
+    if (!Row.Closed && Row.Instance == Options.Instance &&
+        Row.BootId == Options.BootId && Row.Address == Options.Address)
+      return std::pair(Id, Lease);
+  }
+  return std::nullopt;
+}
+
+absl::Status share_keeper::resume(const std::string &Lease,
+                                  const seen_lease &Before, instant Now) {
+  const lease_row Row = ownRow(Now.Wall + Options.LeaseTerm);
+  const std::string Key = leaseKey(Lease);
+  // An answer that is lost is found by the next scan, as a predecessor.
+  absl::Status Status = Table.Commit({platform::condition{Key, Before.Version}},
+                                     {platform::write{Key, encode(Row)}});
+  if (!Status.ok())
+    return Status;
+  LeaseId = Lease;
+  UsableFrom = Now.Boot + Before.Row.LoanTerm;
+  return readBack(Row.Expires, Now);
+}
+
+absl::Status share_keeper::openFresh(instant Now) {
+  const lease_row Row = ownRow(Now.Wall + Options.LeaseTerm);
+  LeaseId =
+      absl::StrCat(Options.Instance, "-", common::randomHex(RandomNameBytes));
+  const std::string Key = leaseKey(LeaseId);
+  absl::Status Status = Table.Commit({platform::condition{Key, 0}},
+                                     {platform::write{Key, encode(Row)}});
+  if (!Status.ok() && !absl::IsUnknown(Status)) {
+    LeaseId.clear();
+    return Status;
+  }
+  return readBack(Row.Expires, Now);
+}
+
+absl::Status share_keeper::renew(instant Now) {
+  const std::string Key = leaseKey(LeaseId);
+  if (LeaseUncertain) {
+    if (absl::Status Status = readBack({}, Now); !Status.ok())
+      return Status;
+  }
+  const lease_row Row = ownRow(Now.Wall + Options.LeaseTerm);
+  absl::Status Status = Table.Commit({platform::condition{Key, LeaseVersion}},
+                                     {platform::write{Key, encode(Row)}});
+  LeaseUncertain = true;
+  if (absl::IsUnavailable(Status)) {
+    LeaseUncertain = false;
+    return Status;
+  }
+  if (Status.ok())
+    Hooks.LeaseChanged(leaseFrom(Now));
+  return readBack(Row.Expires, Now);
+}
+
+absl::Status share_keeper::readBack(common::wall_time Written, instant Sent) {
+  const absl::StatusOr<platform::row> Read = Table.Get(leaseKey(LeaseId));
+  if (!Read.ok()) {
+    LeaseUncertain = true;
+    return Read.status();
+  }
+  const absl::StatusOr<lease_row> Row = decodeLease(Read->Value);
+  if (Read->Version == 0 || !Row.ok() || Row->Closed ||
+      Row->Process != Options.Process) {
+    lost(Sent);
+    return absl::AbortedError("the lease was ended by another instance");
+  }
+  LeaseVersion = Read->Version;
+  LeaseUncertain = false;
+  // An older write that landed late grants no more than what was sent then.
+  if (Row->Expires != Written)
+    return absl::OkStatus();
+  NextRenewal = Sent.Boot + Options.RenewPeriod;
+  Hooks.LeaseChanged(leaseFrom(Sent));
+  return absl::OkStatus();
+}
+
+void share_keeper::lost(instant Now) {
+  Hooks.LeaseChanged({});
+  LeaseId.clear();
+  LeaseVersion = 0;
+  LeaseUncertain = false;
+  NextRenewal = common::boot_time::min();
+  NextRefresh = common::boot_time::min();
+  UsableFrom = common::boot_time();
+  Handovers.clear();
+  publish({}, Now);
+}
+
+absl::Status share_keeper::release(instant Now) {
+  if (Released || LeaseId.empty()) {
+    Released = true;
+    return absl::OkStatus();
+  }
+  Hooks.LeaseChanged({});
+  if (LeaseUncertain)
+    if (absl::Status Status = readBack({}, Now); !Status.ok())
+      return Released ? absl::OkStatus() : Status;
+  // Without loans the holder's own word is enough and no clock is compared.
+  const duration Loans =
+      std::max(Hooks.LongestLoan(Now), UsableFrom - Now.Boot);
+  lease_row Row =
+      ownRow(Loans > duration::zero() ? Now.Wall + Loans : common::wall_time());
+  Row.Closed = true;
+  const std::string Key = leaseKey(LeaseId);
+  absl::Status Status = Table.Commit({platform::condition{Key, LeaseVersion}},
+                                     {platform::write{Key, encode(Row)}});
+  LeaseUncertain = !Status.ok();
+  Released = Status.ok();
+  return Status;
+}
+
+lease_row share_keeper::ownRow(common::wall_time Expires) const {
+  lease_row Row;
+  Row.Instance = Options.Instance;
+  Row.FailureDomain = Options.FailureDomain;
+  Row.Address = Options.Address;
+  Row.BootId = Options.BootId;
+  Row.Process = Options.Process;
+  Row.Expires = Expires;
+  Row.LoanTerm = Options.LoanTerm;
+  return Row;
+}
+
+expiry share_keeper::leaseFrom(instant Sent) const {
+  const auto Margin = duration(static_cast<duration::rep>(
+      static_cast<double>(Options.LeaseTerm.count()) * Options.ClockDrift));
+  return {Sent.Boot + Options.LeaseTerm - Margin,
+          Sent.Wall + Options.LeaseTerm};
+}
+
+absl::Status attestGone(const platform::table_service &Table,
+                        std::string_view Instance, common::wall_time Now) {
+  const auto Rows = Table.Scan(LeasePrefix);
+  if (!Rows.ok())
+    return Rows.status();
+  for (const platform::row &Row : *Rows) {
+    absl::StatusOr<lease_row> Lease = decodeLease(Row.Value);
+    if (!Lease.ok() || Lease->Instance != Instance || Lease->Closed)
+      continue;
+    Lease->Closed = true;
+    Lease->Expires = std::min(Lease->Expires, Now + Lease->LoanTerm);
+    absl::Status Status =
+        Table.Commit({platform::condition{Row.Key, Row.Version}},
+                     {platform::write{Row.Key, encode(*Lease)}});
+    if (!Status.ok())
+      return Status;
+  }
+  return absl::OkStatus();
+}
+
+} // namespace magnolia::quota
--- /dev/null
+++ b/Source/Core/Quota/ShareKeeper.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <absl/types/span.h>
+
+#include "Platform/Services.h"
+#include "Quota/HomeOrder.h"
+#include "Quota/Rows.h"
+#include "Quota/ShareView.h"
+
+namespace magnolia::quota {
+
+/// Settings of a share_keeper.
+struct keeper_options {
+  std::string Instance;
+  std::string FailureDomain;
+  /// Address that the instance binds for its peers.
+  std::string Address;
+  std::string BootId;
+  /// Random name of this process.
+  std::string Process;
+  /// The process bound Address exclusively: an earlier process of the same
+  /// machine that kept it until its last spending is dead.
+  bool BoundExclusively = false;
+  duration LeaseTerm = std::chrono::hours(6);
+  duration RenewPeriod = std::chrono::seconds(60);
+  duration RefreshPeriod = std::chrono::seconds(5);
+  /// Largest difference between the wall clocks of any two instances.
+  duration ClockSkew = std::chrono::seconds(2);
+  /// Largest relative difference between the speeds of two clocks.
+  double ClockDrift = 0.001;
+  /// As in gate_options.
+  duration LoanTerm = std::chrono::seconds(1);
+  /// How long a slot stays free for each better candidate before this instance
+  /// takes it.
+  duration Patience = std::chrono::seconds(2);
+  /// How long to wait between handing slots over to better candidates.
+  duration HandoverPeriod = std::chrono::seconds(30);
+  /// Written to the layout row if there is none.
+  layout_row Layout{64, 4};
+};
+
+/// What a keeper tells the gate.
+struct keeper_hooks {
+  std::function<void(const share_view_ptr &View, instant Now)> SharesChanged;
+  std::function<void(expiry Lease)> LeaseChanged;
+  /// Time until the last loan cut from this instance's shares has ended.
+  std::function<duration(instant Now)> LongestLoan;
+};
+
+/// Holds an instance's shares in the table: opens and renews the lease, claims
+/// free slots, hands slots over, releases at a planned stop. Calls block on the
+/// table; use from one thread. All errors leave the rights as they were or
+/// smaller, and are mended by the next step.
+class share_keeper {
+public:
+  static absl::StatusOr<std::unique_ptr<share_keeper>>
+  create(keeper_options Options, platform::table_service Table,
+         keeper_hooks Hooks);
+
+  /// Does whatever is due. \p Live lists the instances that answer, this one
+  /// among them. Call about once a second; \p Now was read right before.
+  absl::Status step(instant Now, absl::Span<const home_candidate> Live);
+
+  /// For a planned stop, after rate_gate::release(): gives the shares up, to be
+  /// taken once this instance's loans have ended. Repeat on an error.
+  absl::Status release(instant Now);
+
+  /// The lease row's name, empty while there is none.
+  const std::string &lease() const { return LeaseId; }
+
+private:
+  struct seen_lease {
+    lease_row Row;
+    uint64_t Version = 0;
+  };
+  using lease_map = absl::flat_hash_map<std::string, seen_lease>;
+
+  struct seen_share {
+    share_row Row;
+    uint64_t Version = 0;
+  };
+
+  share_keeper(keeper_options Options, platform::table_service Table,
+               keeper_hooks Hooks);
+
+  absl::Status loadLayout();
+  absl::Status open(instant Now);
+  std::optional<std::pair<std::string, seen_lease>>
+  findPredecessor(const lease_map &Leases) const;
+  absl::Status openFresh(instant Now);
+  absl::Status resume(const std::string &Lease, const seen_lease &Before,
+                      instant Now);
+  absl::Status renew(instant Now);
+  absl::Status readBack(common::wall_time Written, instant Sent);
+  void opened(uint64_t Version, instant Sent);
+  void lost(instant Now);
+
+  absl::Status refresh(instant Now, absl::Span<const home_candidate> Live);
+  absl::StatusOr<lease_map> scanLeases();
+  absl::Status scanShares();
+  bool isFree(const seen_share &Share, const lease_map &Leases,
+              instant Now) const;
+  void publish(const lease_map &Leases, instant Now);
+  std::vector<slot> slotsToClaim(const lease_map &Leases, instant Now,
+                                 absl::Span<const home_candidate> Live);
+  absl::Status claim(absl::Span<const slot> Slots, const lease_map &Leases);
+  absl::Status handOver(const lease_map &Leases, instant Now,
+                        absl::Span<const home_candidate> Live);
+  absl::Status finishHandovers(instant Now);
+  bool holds(const seen_share &Share) const {
+    return Share.Row.Lease == LeaseId;
+  }
+
+  lease_row ownRow(common::wall_time Expires) const;
+  expiry leaseFrom(instant Sent) const;
+
+  const keeper_options Options;
+  const platform::table_service Table;
+  const keeper_hooks Hooks;
+  layout_row Layout;
+  std::string LeaseId;
+  uint64_t LeaseVersion = 0;
+  /// The last renewal had no answer: read the row before the next one.
+  bool LeaseUncertain = false;
+  bool Released = false;
+  common::boot_time NextRenewal = common::boot_time::min();
+  common::boot_time NextRefresh = common::boot_time::min();
+  common::boot_time NextHandover = common::boot_time::min();
+  /// Loans of a predecessor may run until then.
+  common::boot_time UsableFrom;
+  std::map<slot, seen_share> Shares;
+  std::map<slot, common::boot_time> FreeSince;
+  /// Slots that are being handed over, and when their loans have ended.
+  std::map<slot, common::boot_time> Handovers;
+  std::vector<partition_view> Published;
+};
+
+/// Operators attest that no process of the instance runs any more. Its shares
+/// become free once its loans have ended and the clock skew has passed. Call
+/// again on an error.
+absl::Status attestGone(const platform::table_service &Table,
+                        std::string_view Instance, common::wall_time Now);
+
+} // namespace magnolia::quota
--- /dev/null
+++ b/Source/UnitTests/Quota/FakeFleet.cpp
@@ -0,0 +1,266 @@
+#include "UnitTests/Quota/FakeFleet.h"
+
+#include <algorithm>
+
+namespace magnolia::quota::testing {
+
+namespace {
+
+constexpr true_time Tick{1000};
+constexpr int KeeperTicks = 20;
+constexpr double SpendQueuedChance = 0.5;
+constexpr double CancelChance = 0.02;
+
+} // namespace
+
+fake_fleet::fake_fleet(fleet_options Options)
+    : Options(Options), Random(Options.Seed) {
+  Table.Fault = [this] {
+    if (chance(this->Options.TableRefused))
+      return table_fault::Refused;
+    return chance(this->Options.AnswerLost) ? table_fault::AnswerLost
+                                            : table_fault::None;
+  };
+  std::uniform_real_distribution<double> Drift(-Options.TrueDrift,
+                                               Options.TrueDrift);
+  std::uniform_int_distribution<int64_t> Skew(-Options.ClockSkew.count() / 2,
+                                              Options.ClockSkew.count() / 2);
+  for (size_t Index = 0; Index < Options.Instances; ++Index) {
+    auto Instance = std::make_unique<fake_instance>();
+    Instance->Name = "instance-" + std::to_string(Index);
+    Instance->FailureDomain = "domain-" + std::to_string(Index % 3);
+    Instance->Speed = 1 + Drift(Random);
+    Instance->WallError = duration(Skew(Random));
+    Instances.push_back(std::move(Instance));
+  }
+}
+
+bool fake_fleet::chance(double Probability) {
+  return std::uniform_real_distribution<double>(0, 1)(Random) < Probability;
+}
+
+instant fake_fleet::clockOf(size_t Index) const {
+  const fake_instance &Instance = *Instances[Index];
+  const auto Boot =
+      static_cast<int64_t>(static_cast<double>(Now.count()) * Instance.Speed);
+  return {common::boot_time(duration(Boot)),
+          common::wall_time(Now + Instance.WallError)};
+}
+
+std::vector<home_candidate> fake_fleet::live() const {
+  std::vector<home_candidate> Live;
+  for (const auto &Instance : Instances)
+    if (Instance->Running)
+      Live.push_back({Instance->Name, Instance->FailureDomain});
+  return Live;
+}
+
+void fake_fleet::setWorkspaces(std::vector<contract::workspace> Next) {
+  Workspaces = std::move(Next);
+  for (size_t Index = 0; Index < Instances.size(); ++Index)
+    if (Instances[Index]->Running)
+      Instances[Index]->Gate->setConfiguration(Workspaces, clockOf(Index));
+}
+
+void fake_fleet::start(size_t Index) {
+  fake_instance &Instance = *Instances[Index];
+  gate_options GateOptions;
+  GateOptions.Self = Instance.Name;
+  GateOptions.Process = Random() | 1;
+  GateOptions.LoanTerm = Options.LoanTerm;
+  GateOptions.ClockDrift = Options.ClockDrift;
+  gate_hooks GateHooks;
+  GateHooks.Send = [this, Index](const std::string &Peer,
+                                 const message &Message) {
+    send(Index, Peer, Message);
+  };
+  GateHooks.Resolved = [this, Index](const resolution &Resolution) {
+    if (const auto *Permit = std::get_if<permit>(&Resolution.Result))
+      use(Index, *Permit);
+  };
+  Instance.Gate = *rate_gate::create(GateOptions, GateHooks);
+  Instance.Gate->setConfiguration(Workspaces, clockOf(Index));
+
+  keeper_options KeeperOptions;
+  KeeperOptions.Instance = Instance.Name;
+  KeeperOptions.FailureDomain = Instance.FailureDomain;
+  KeeperOptions.Address = Instance.Name;
+  KeeperOptions.BootId = "boot of " + Instance.Name;
+  KeeperOptions.Process =
+      Instance.Name + "/" + std::to_string(++Instance.Processes);
+  // Every second process could bind in time to prove its predecessor dead.
+  KeeperOptions.BoundExclusively = Instance.Processes % 2 == 0;
+  KeeperOptions.LeaseTerm = Options.LeaseTerm;
+  KeeperOptions.RenewPeriod = Options.RenewPeriod;
+  KeeperOptions.RefreshPeriod = Options.RefreshPeriod;
+  KeeperOptions.ClockSkew = Options.ClockSkew;
+  KeeperOptions.ClockDrift = Options.ClockDrift;
+  KeeperOptions.LoanTerm = Options.LoanTerm;
+  KeeperOptions.Patience = milliseconds(100);
+  KeeperOptions.HandoverPeriod = milliseconds(1000);
+  KeeperOptions.Layout = Options.Layout;
+  rate_gate *Gate = Instance.Gate.get();
+  keeper_hooks KeeperHooks;
+  Instance.Shares = nullptr;
+  Instance.Lease = {};
+  KeeperHooks.SharesChanged = [Gate, &Instance](const share_view_ptr &View,
+                                                instant At) {
+    Instance.Shares = View;
+    Gate->setShares(View, At);
+  };
+  KeeperHooks.LeaseChanged = [Gate, &Instance](expiry Lease) {
+    Instance.Lease = Lease;
+    Gate->setLease(Lease);
+  };
+  KeeperHooks.LongestLoan = [Gate](instant At) {
+    return Gate->longestLoan(At);
+  };
+  Instance.Keeper =
+      *share_keeper::create(KeeperOptions, Table.service(), KeeperHooks);
+  Instance.Running = true;
+  Instance.Suspended = false;
+}
+
+void fake_fleet::crash(size_t Index) {
+  fake_instance &Instance = *Instances[Index];
+  Instance.Running = false;
+  Instance.Permits.clear();
+  Instance.Keeper.reset();
+  Instance.Gate.reset();
+}
+
+void fake_fleet::stop(size_t Index) {
+  fake_instance &Instance = *Instances[Index];
+  Instance.Gate->release(clockOf(Index));
+  Instance.Keeper->release(clockOf(Index)).IgnoreError();
+  crash(Index);
+}
+
+void fake_fleet::run(duration Length, const std::function<void()> &EachTick) {
+  const true_time End = Now + Length;
+  while (Now < End) {
+    Now += Tick;
+    deliver();
+    for (size_t Index = 0; Index < Instances.size(); ++Index)
+      tick(Index);
+    if (EachTick)
+      EachTick();
+  }
+}
+
+void fake_fleet::tick(size_t Index) {
+  fake_instance &Instance = *Instances[Index];
+  if (!Instance.Running || Instance.Suspended)
+    return;
+  const instant Clock = clockOf(Index);
+  if ((Now / Tick + static_cast<int64_t>(Index)) % KeeperTicks == 0)
+    Instance.Keeper->step(Clock, live()).IgnoreError();
+  Instance.Gate->advance(Clock);
+  spendQueued(Index);
+}
+
+void fake_fleet::send(size_t From, const std::string &Peer,
+                      const message &Message) {
+  const auto To = std::find_if(
+      Instances.begin(), Instances.end(),
+      [&](const auto &Instance) { return Instance->Name == Peer; });
+  const auto Target = static_cast<size_t>(To - Instances.begin());
+  const bool Cut = std::find(Cuts.begin(), Cuts.end(),
+                             std::pair(From, Target)) != Cuts.end();
+  const int Copies = chance(Options.Duplicated) ? 2 : 1;
+  for (int Copy = 0; Copy < Copies; ++Copy) {
+    if (Cut || chance(Options.Lost))
+      continue;
+    // A late message may arrive after every term that it speaks of.
+    const int64_t Longest =
+        chance(Options.Late) ? 3 * Options.LoanTerm.count() : 2000;
+    const true_time Delay{
+        std::uniform_int_distribution<int64_t>(100, Longest)(Random)};
+    Network.push({Now + Delay, NextOrder++, From, Target, encode(Message)});
+  }
+}
+
+void fake_fleet::deliver() {
+  while (!Network.empty() && Network.top().At <= Now) {
+    const delivery Delivery = Network.top();
+    Network.pop();
+    fake_instance &Target = *Instances[Delivery.To];
+    if (!Target.Running)
+      continue;
+    // A suspended process finds its messages when it continues.
+    if (Target.Suspended) {
+      delivery Again = Delivery;
+      Again.At = Now + Tick;
+      Network.push(std::move(Again));
+      continue;
+    }
+    Target.Gate->handleMessage(Instances[Delivery.From]->Name,
+                               *decode(Delivery.Bytes), clockOf(Delivery.To));
+  }
+}
+
+void fake_fleet::request(size_t Index, const std::string &Workspace) {
+  fake_instance &Instance = *Instances[Index];
+  if (!Instance.Running || Instance.Suspended)
+    return;
+  const instant Clock = clockOf(Index);
+  admission Admission = Instance.Gate->admit(
+      Workspace, Clock, Clock.Boot + std::chrono::seconds(1));
+  if (auto *Permit = std::get_if<permit>(&Admission))
+    use(Index, std::move(*Permit));
+}
+
+void fake_fleet::use(size_t Index, permit Permit) {
+  if (chance(Queued))
+    Instances[Index]->Permits.push_back(std::move(Permit));
+  else
+    spend(Index, Permit);
+}
+
+void fake_fleet::spend(size_t Index, const permit &Permit) {
+  if (chance(CancelChance)) {
+    Instances[Index]->Gate->cancel(Permit, clockOf(Index));
+    return;
+  }
+  if (Instances[Index]->Gate->spend(Permit, clockOf(Index)))
+    Written[Permit.Workspace].push_back(Now);
+}
+
+void fake_fleet::spendQueued(size_t Index) {
+  std::vector<permit> &Permits = Instances[Index]->Permits;
+  while (!Permits.empty() && chance(SpendQueuedChance)) {
+    const permit Permit = std::move(Permits.back());
+    Permits.pop_back();
+    spend(Index, Permit);
+  }
+}
+
+uint32_t fake_fleet::slotsInUse(uint32_t Partition) const {
+  uint32_t Sum = 0;
+  for (size_t Index = 0; Index < Instances.size(); ++Index) {
+    const fake_instance &Instance = *Instances[Index];
+    if (Instance.Running && Instance.Shares &&
+        !Instance.Lease.passed(clockOf(Index)))
+      Sum += Instance.Shares->Partitions[Partition].Held;
+  }
+  return Sum;
+}
+
+double fake_fleet::worstExcess(const std::string &Workspace, double Rate,
+                               double Burst) {
+  // A window from the i-th to the j-th request holds j - i + 1 of them; the
+  // worst one is found by a running minimum over its start.
+  const std::vector<true_time> &Times = Written[Workspace];
+  double Worst = -Burst;
+  double LowestStart = 0;
+  for (size_t Last = 0; Last < Times.size(); ++Last) {
+    const double Seconds = std::chrono::duration<double>(Times[Last]).count();
+    const double Count = static_cast<double>(Last);
+    const double Start = Count - Rate * Seconds;
+    LowestStart = Last == 0 ? Start : std::min(LowestStart, Start);
+    Worst = std::max(Worst, Start - LowestStart + 1 - Burst);
+  }
+  return Worst;
+}
+
+} // namespace magnolia::quota::testing
--- /dev/null
+++ b/Source/UnitTests/Quota/FleetTest.cpp
@@ -0,0 +1,149 @@
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "UnitTests/Quota/FakeFleet.h"
+
+using namespace magnolia;
+using namespace magnolia::quota;
+using namespace magnolia::quota::testing;
+
+namespace {
+
+constexpr uint64_t SeedCount = 8;
+constexpr duration RunLength = std::chrono::seconds(15);
+constexpr double SlowRate = 20;
+constexpr double SlowBurst = 3;
+constexpr double FastRate = 300;
+constexpr double FastBurst = 40;
+
+/// Several times the rate, at random instances or at one that changes.
+void overload(fake_fleet &Fleet) {
+  const auto Pick = [&] {
+    const bool Skewed = (Fleet.now() / milliseconds(700)) % 2 == 0;
+    const auto Fixed = static_cast<size_t>(Fleet.now() / milliseconds(1400));
+    return (Skewed ? Fixed : Fleet.random()()) % Fleet.size();
+  };
+  if (Fleet.chance(0.2))
+    Fleet.request(Pick(), "slow");
+  for (int Count = 0; Count < 2; ++Count)
+    Fleet.request(Pick(), "fast");
+}
+
+void startAll(fake_fleet &Fleet) {
+  Fleet.setWorkspaces(
+      {{"slow", SlowRate, SlowBurst}, {"fast", FastRate, FastBurst}});
+  for (size_t Index = 0; Index < Fleet.size(); ++Index)
+    Fleet.start(Index);
+}
+
+/// Runs with \p Event at random times, a dozen a second, and checks in every
+/// tick that no slot is in use twice.
+void runWithEvents(fake_fleet &Fleet, duration Length,
+                   const std::function<void(size_t Index)> &Event) {
+  uint32_t MostSlots = 0;
+  Fleet.run(Length, [&] {
+    overload(Fleet);
+    if (Fleet.chance(0.012))
+      Event(Fleet.random()() % Fleet.size());
+    MostSlots = std::max({MostSlots, Fleet.slotsInUse(0), Fleet.slotsInUse(1)});
+  });
+  CHECK(MostSlots <= 2);
+}
+
+void crashOrRestart(fake_fleet &Fleet, size_t Index) {
+  if (!Fleet.at(Index).Running)
+    Fleet.start(Index);
+  else if (Fleet.chance(0.5))
+    Fleet.crash(Index);
+  else
+    Fleet.stop(Index);
+}
+
+void cutOrMend(fake_fleet &Fleet, size_t Index) {
+  if (Fleet.Cuts.size() > 3)
+    Fleet.Cuts.clear();
+  else
+    Fleet.Cuts.emplace_back(Index, Fleet.random()() % Fleet.size());
+}
+
+} // namespace
+
+TEST_CASE("A fleet admits at most burst + rate * window, over every window") {
+  fleet_options Options;
+  std::function<void(fake_fleet &, size_t Index)> Event = [](fake_fleet &,
+                                                             size_t) {};
+
+  SUBCASE("with lost, late and duplicated messages") {
+    Options.Lost = 0.1;
+    Options.Late = 0.1;
+    Options.Duplicated = 0.2;
+  }
+
+  SUBCASE("with crashes, planned stops and restarts") {
+    Event = crashOrRestart;
+  }
+
+  SUBCASE("with processes suspended past their terms") {
+    Options.LeaseTerm = milliseconds(700);
+    Options.RenewPeriod = milliseconds(100);
+    Event = [](fake_fleet &Fleet, size_t Index) {
+      fake_instance &Instance = Fleet.at(Index);
+      Instance.Suspended = !Instance.Suspended && Fleet.chance(0.3);
+    };
+  }
+
+  SUBCASE("with links cut one way and table outages") {
+    Options.LeaseTerm = milliseconds(900);
+    Options.RenewPeriod = milliseconds(300);
+    Options.TableRefused = 0.3;
+    Options.AnswerLost = 0.2;
+    Event = cutOrMend;
+  }
+
+  SUBCASE("while rates change, up to the larger of the two") {
+    Event = [](fake_fleet &Fleet, size_t Index) {
+      const double Factor = Index % 2 == 0 ? 1 : 0.3;
+      Fleet.setWorkspaces({{"slow", SlowRate * Factor, SlowBurst * Factor},
+                           {"fast", FastRate * Factor, FastBurst * Factor}});
+    };
+  }
+
+  SUBCASE("with all of these together") {
+    Options.Lost = 0.05;
+    Options.Late = 0.1;
+    Options.Duplicated = 0.1;
+    Options.TableRefused = 0.1;
+    Options.AnswerLost = 0.1;
+    Options.LeaseTerm = milliseconds(1200);
+    Event = [](fake_fleet &Fleet, size_t Index) {
+      const uint64_t Kind = Fleet.random()() % 4;
+      if (Kind == 0)
+        crashOrRestart(Fleet, Index);
+      else if (Kind == 1)
+        cutOrMend(Fleet, Index);
+      else
+        Fleet.at(Index).Suspended = !Fleet.at(Index).Suspended;
+    };
+  }
+
+  for (uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
+    CAPTURE(Seed);
+    Options.Seed = Seed;
+    fake_fleet Fleet(Options);
+    startAll(Fleet);
+    runWithEvents(Fleet, RunLength, [&](size_t Index) { Event(Fleet, Index); });
+    CHECK(Fleet.written("fast").size() > 0);
+    CHECK(Fleet.worstExcess("slow", SlowRate, SlowBurst) <= 0);
+    CHECK(Fleet.worstExcess("fast", FastRate, FastBurst) <= 0);
+  }
+}
+
+TEST_CASE("A fleet without faults uses most of the rate") {
+  fake_fleet Fleet(fleet_options{});
+  startAll(Fleet);
+  Fleet.run(RunLength, [&] { overload(Fleet); });
+  const double Earned =
+      FastRate * std::chrono::duration<double>(RunLength).count();
+  CHECK(static_cast<double>(Fleet.written("fast").size()) > 0.8 * Earned);
+}
--- /dev/null
+++ b/Source/UnitTests/Quota/GateTest.cpp
@@ -0,0 +1,156 @@
+#include <doctest/doctest.h>
+
+#include "Quota/RateGate.h"
+
+using namespace magnolia;
+using namespace magnolia::quota;
+
+namespace {
+
+instant at(int64_t Milliseconds) {
+  return {common::boot_time(milliseconds(Milliseconds)),
+          common::wall_time(milliseconds(Milliseconds))};
+}
+
+/// A gate of instance "here" with one partition, and what it sent.
+struct gate_fixture {
+  std::vector<outgoing> Sent;
+  std::vector<resolution> Resolved;
+  std::unique_ptr<rate_gate> Gate;
+
+  explicit gate_fixture(uint32_t Held) {
+    gate_options Options;
+    Options.Self = "here";
+    Options.Process = 1;
+    gate_hooks Hooks;
+    Hooks.Send = [this](const std::string &Peer, const message &Message) {
+      Sent.push_back({Peer, Message});
+    };
+    Hooks.Resolved = [this](const resolution &Resolution) {
+      Resolved.push_back(Resolution);
+    };
+    Gate = *rate_gate::create(Options, Hooks);
+    const std::vector<contract::workspace> Workspaces{{"gloves", 100, 10}};
+    Gate->setConfiguration(Workspaces, at(0));
+    share_view View;
+    View.SlotCount = 2;
+    View.Partitions.resize(1);
+    View.Partitions[0].Held = Held;
+    View.Partitions[0].Homes = {"there"};
+    Gate->setShares(std::make_shared<share_view>(View), at(0));
+    if (Held > 0)
+      Gate->setLease(expiryAfter(at(0), std::chrono::seconds(10)));
+  }
+
+  admission admit(int64_t Milliseconds) {
+    return Gate->admit("gloves", at(Milliseconds),
+                       at(Milliseconds + 1000).Boot);
+  }
+
+  /// Grants the last question; the answer arrives at \p Milliseconds.
+  loan_grant grant(int64_t Milliseconds, nano_tokens Tokens) {
+    loan_grant Grant;
+    Grant.Request = std::get<loan_request>(Sent.back().Message).Request;
+    Grant.Loan = {9, 1};
+    Grant.Workspace = "gloves";
+    Grant.Tokens = Tokens;
+    Grant.Capacity = Tokens;
+    Grant.Term = milliseconds(500);
+    Gate->handleMessage("there", Grant, at(Milliseconds));
+    return Grant;
+  }
+};
+
+} // namespace
+
+TEST_CASE("A home's gate") {
+  gate_fixture Home(1);
+
+  SUBCASE("starts empty and admits what its part of the rate earned") {
+    CHECK(std::holds_alternative<ticket>(Home.admit(0)));
+    Home.Gate->advance(at(20));
+    REQUIRE(Home.Resolved.size() == 1);
+    CHECK(std::holds_alternative<refusal>(Home.Resolved[0].Result));
+    CHECK(std::holds_alternative<permit>(Home.admit(100)));
+  }
+
+  SUBCASE("spends no permit after its lease ended by either clock") {
+    const auto Permit = std::get<permit>(Home.admit(1000));
+    const instant BootPassed{at(10000).Boot, at(0).Wall};
+    const instant WallPassed{at(0).Boot, at(10000).Wall};
+    CHECK_FALSE(Home.Gate->spend(Permit, BootPassed));
+    CHECK_FALSE(
+        Home.Gate->spend(std::get<permit>(Home.admit(1001)), WallPassed));
+  }
+
+  SUBCASE("spends no permit from before it lost its shares") {
+    const auto Permit = std::get<permit>(Home.admit(1000));
+    share_view View;
+    View.Partitions.resize(1);
+    View.Partitions[0].LostAt = at(1500).Boot;
+    Home.Gate->setShares(std::make_shared<share_view>(View), at(1500));
+    CHECK_FALSE(Home.Gate->spend(Permit, at(1600)));
+  }
+
+  SUBCASE("answers a duplicated request with the same loan") {
+    loan_request Request{{5, 1}, "gloves", OneToken, 0};
+    Home.Gate->handleMessage("there", Request, at(1000));
+    Home.Gate->handleMessage("there", Request, at(1001));
+    REQUIRE(Home.Sent.size() == 2);
+    CHECK(std::get<loan_grant>(Home.Sent[0].Message).Loan ==
+          std::get<loan_grant>(Home.Sent[1].Message).Loan);
+  }
+
+  SUBCASE("lends nothing past the end of its lease") {
+    loan_request Request{{5, 1}, "gloves", OneToken, 0};
+    Home.Gate->handleMessage("there", Request, at(9900));
+    const auto &Grant = std::get<loan_grant>(Home.Sent.back().Message);
+    CHECK(Grant.Term == milliseconds(100));
+    Request.Request.Number = 2;
+    Home.Gate->handleMessage("there", Request, at(10000));
+    CHECK(std::get<loan_refusal>(Home.Sent.back().Message).NotHome);
+  }
+}
+
+TEST_CASE("A borrower's gate") {
+  gate_fixture Borrower(0);
+  const auto Ticket = std::get<ticket>(Borrower.admit(1000));
+  CHECK(Borrower.Sent.back().Peer == "there");
+
+  SUBCASE("admits with a loan and returns it when spent") {
+    const loan_grant Grant = Borrower.grant(1005, OneToken);
+    REQUIRE(Borrower.Resolved.size() == 1);
+    CHECK(Borrower.Resolved[0].Ticket == Ticket.Number);
+    const auto &Permit = std::get<permit>(Borrower.Resolved[0].Result);
+    CHECK(Borrower.Gate->spend(Permit, at(1010)));
+    const auto &Return = std::get<loan_return>(Borrower.Sent.back().Message);
+    CHECK(Return.Loan == Grant.Loan);
+    CHECK(Return.Tokens == 0);
+  }
+
+  SUBCASE("counts the loan's term from its request, less the drift") {
+    Borrower.grant(1015, OneToken);
+    const auto &Permit = std::get<permit>(Borrower.Resolved.at(0).Result);
+    CHECK_FALSE(Borrower.Gate->spend(Permit, at(1500)));
+  }
+
+  SUBCASE("takes a duplicated grant once") {
+    const loan_grant Grant = Borrower.grant(1005, OneToken);
+    Borrower.Gate->handleMessage("there", Grant, at(1006));
+    CHECK(std::holds_alternative<ticket>(Borrower.admit(1007)));
+  }
+
+  SUBCASE("gathers parts of a token and gives them back on failure") {
+    Borrower.grant(1005, OneToken / 2);
+    REQUIRE(Borrower.Resolved.size() == 1);
+    CHECK(std::holds_alternative<refusal>(Borrower.Resolved[0].Result));
+    CHECK(std::get<loan_return>(Borrower.Sent.back().Message).Tokens ==
+          OneToken / 2);
+  }
+
+  SUBCASE("says that rights are unavailable when no home answers") {
+    Borrower.Gate->advance(at(1030));
+    const auto &Refusal = std::get<refusal>(Borrower.Resolved.at(0).Result);
+    CHECK(Refusal.Reason == refusal_reason::RightsUnavailable);
+  }
+}
