--- a/Source/UnitTests/Net/Peer/PeerTransportTest.cpp
+++ b/Source/UnitTests/Net/Peer/PeerTransportTest.cpp
@@ -8,6 +8,7 @@
 #include <absl/synchronization/mutex.h>
 #include <doctest/doctest.h>
 
+#include "Net/Peer/PeerSession.h"
 #include "RawSocket.h"
 
 using namespace magnolia;
@@ -75,6 +76,19 @@
   return *std::move(Transport);
 }
 
+/// Plays a server that acknowledges one message and then does nothing more.
+void answerOneMessage(const unique_fd &Raw) {
+  bool Arrived = false;
+  session_hooks Hooks;
+  Hooks.OnMessage = [&](const peer_message &) { Arrived = true; };
+  const auto Server = peer_session::makeServer({}, std::move(Hooks));
+  std::string Out;
+  while (!Arrived && Server->receive(readRaw(Raw)))
+    ;
+  Server->fill(Out, size_t{1024} * 1024);
+  writeRaw(Raw, Out);
+}
+
 } // namespace
 
 TEST_CASE("Two transports exchange messages") {
@@ -235,3 +249,18 @@
   CHECK(Trnava->flush(Limit));
   CHECK(Trnava->counters().Sent == 0);
 }
+
+TEST_CASE("A peer that falls silent with nothing left to answer") {
+  std::string Address;
+  const unique_fd Listener = listenRaw(Address);
+  inbox Inbox;
+  const auto Trnava = start("trnava-1", Inbox, quickOptions());
+  Trnava->send(Address, "digest", "answered");
+  const unique_fd Raw = acceptRaw(Listener);
+  REQUIRE(Raw.valid());
+  answerOneMessage(Raw);
+  REQUIRE(eventually([&] { return Trnava->counters().Sent == 1; }));
+
+  CHECK(Trnava->lastHeard(Address).has_value());
+  CHECK(eventually([&] { return Trnava->counters().Reconnects > 0; }));
+}
--- a/Source/UnitTests/Net/Peer/RawSocket.cpp
+++ b/Source/UnitTests/Net/Peer/RawSocket.cpp
@@ -45,6 +45,15 @@
       ::send(Socket.get(), Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
 }
 
+std::string readRaw(const unique_fd &Socket) {
+  std::array<char, 4096> Buffer;
+  if (!awaitReady(Socket, POLLIN))
+    return {};
+  const ssize_t Count = recv(Socket.get(), Buffer.data(), Buffer.size(), 0);
+  return Count > 0 ? std::string(Buffer.data(), static_cast<size_t>(Count))
+                   : std::string();
+}
+
 bool readToEnd(const unique_fd &Socket) {
   std::array<char, 4096> Buffer;
   while (awaitReady(Socket, POLLIN)) {
--- a/Source/UnitTests/Net/Peer/RawSocket.h
+++ b/Source/UnitTests/Net/Peer/RawSocket.h
@@ -19,6 +19,9 @@
 
 void writeRaw(const unique_fd &Socket, std::string_view Bytes);
 
+/// Waits for bytes and returns them; empty at the end.
+std::string readRaw(const unique_fd &Socket);
+
 /// Reads until the other side closes; false when it did not.
 bool readToEnd(const unique_fd &Socket);
 
