--- a/Source/Core/Platform/InstanceRow.cpp
+++ b/Source/Core/Platform/InstanceRow.cpp
@@ -20,6 +20,7 @@
                      {"peer_address", Row.PeerAddress},
                      {"failure_domain", Row.FailureDomain},
                      {"boot_id", Row.BootId},
+                     {"incarnation", Row.Incarnation},
                      {"version", Row.Version},
                      {"updated_unix_us", common::toUnixMicros(Row.Updated)}};
   return Json.dump();
@@ -34,6 +35,7 @@
     Json.at("peer_address").get_to(Row.PeerAddress);
     Json.at("failure_domain").get_to(Row.FailureDomain);
     Json.at("boot_id").get_to(Row.BootId);
+    Json.at("incarnation").get_to(Row.Incarnation);
     Json.at("version").get_to(Row.Version);
     Row.Updated =
         common::fromUnixMicros(Json.at("updated_unix_us").get<int64_t>());
--- a/Source/Core/Platform/InstanceRow.h
+++ b/Source/Core/Platform/InstanceRow.h
@@ -26,6 +26,8 @@
   std::string FailureDomain;
   /// Differs after each start of the machine.
   std::string BootId;
+  /// Grows with each start of an instance of this name.
+  uint64_t Incarnation = 0;
   /// Version of the configuration in force there.
   uint64_t Version = 0;
   /// When it wrote the row, by its own wall clock.
--- /dev/null
+++ b/Source/Magnoliad/AdminPages.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <absl/status/statusor.h>
+
+#include "Magnoliad/Metrics.h"
+#include "Net/Http/HttpServer.h"
+
+namespace magnolia::daemon {
+
+/// What the pages show.
+struct admin_hooks {
+  /// Empty when callers are served, else the reason why not.
+  std::function<std::string()> NotReady;
+  /// JSON with versions, members and targets.
+  std::function<std::string()> Status;
+};
+
+/// Pages for operators on a port of their own: /healthz, /readyz, /metrics and
+/// /status.
+class admin_pages {
+public:
+  static absl::StatusOr<std::unique_ptr<admin_pages>>
+  create(const std::string &Address, metrics &Metrics, admin_hooks Hooks);
+
+  /// "IPv4:port".
+  const std::string &address() const { return Server->address(); }
+
+private:
+  admin_pages(metrics &Metrics, admin_hooks Hooks)
+      : Metrics(Metrics), Hooks(std::move(Hooks)) {}
+  http::whole_answer answer(const std::string &Path);
+
+  metrics &Metrics;
+  const admin_hooks Hooks;
+  std::unique_ptr<http::http_server> Server;
+};
+
+} // namespace magnolia::daemon
--- a/Source/Magnoliad/Forwarder.cpp
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -53,6 +53,15 @@
   return Observation;
 }
 
+admission::target_outcome
+limitOutcome(const request::attempt_outcome &Outcome) {
+  if (Outcome.ok())
+    return admission::target_outcome::Succeeded;
+  return Outcome.Error == error_kind::TargetRefused
+             ? admission::target_outcome::Refused
+             : admission::target_outcome::Failed;
+}
+
 bool hasBody(const forward_request &Request, const net::answer_head &Head) {
   constexpr int NoContent = 204;
   constexpr int NotModified = 304;
@@ -77,16 +86,26 @@
 class forwarder::attempt {
 public:
   attempt(net::answer_stream Stream, target::choice Choice,
-          target::target_selector &Selector, boot_time Deadline)
+          target::target_selector &Selector, queue_turn_ptr Turn,
+          boot_time Deadline)
       : Stream(std::move(Stream)), Choice(std::move(Choice)),
-        Selector(Selector), Deadline(Deadline) {}
+        Selector(Selector), Turn(std::move(Turn)), Deadline(Deadline) {}
 
   ~attempt() {
-    const auto Outcome = Stream.awaitOutcome(boot_clock::now());
-    if (Outcome)
-      Selector.finish(Choice, observe(*Outcome), boot_clock::now());
-    else
-      Selector.cancel(Choice, boot_clock::now());
+    const boot_time Now = boot_clock::now();
+    const auto Outcome = Stream.awaitOutcome(Now);
+    if (!Outcome) {
+      Selector.cancel(Choice, Now);
+      Turn->limits().finish(Choice.Target, admission::target_outcome::Failed,
+                            {}, Now);
+      return;
+    }
+    const target::observation Observation = observe(*Outcome);
+    Selector.finish(Choice, Observation, Now);
+    Turn->limits().finish(Choice.Target, limitOutcome(*Outcome),
+                          Observation.Latency, Now);
+    if (!Outcome->ok())
+      Turn->markFailed();
   }
 
   attempt(const attempt &) = delete;
@@ -119,6 +138,7 @@
   net::answer_stream Stream;
   const target::choice Choice;
   target::target_selector &Selector;
+  const queue_turn_ptr Turn;
   const boot_time Deadline;
 };
 
@@ -148,11 +168,24 @@
   return Upstream;
 }
 
+std::optional<target::choice>
+forwarder::choose(const forward_request &Request, queue_turn &Turn,
+                  const std::vector<std::string> &Tried) {
+  std::vector<std::string> Excluded = Tried;
+  while (true) {
+    auto Choice =
+        Selector.choose(Request.Service->Name, Excluded, boot_clock::now());
+    if (!Choice || Turn.limits().tryStart(Choice->Target))
+      return Choice;
+    Selector.cancel(*Choice, boot_clock::now());
+    Excluded.push_back(Choice->Target);
+  }
+}
+
 absl::StatusOr<forwarder::attempt_ptr>
-forwarder::begin(const forward_request &Request,
+forwarder::begin(const forward_request &Request, const queue_turn_ptr &Turn,
                  std::vector<std::string> &Tried) {
-  auto Choice =
-      Selector.choose(Request.Service->Name, Tried, boot_clock::now());
+  auto Choice = choose(Request, *Turn, Tried);
   if (!Choice)
     return common::makeError(
         error_kind::NoTargetAvailable,
@@ -160,6 +193,8 @@
   Tried.push_back(Choice->Target);
   if (Request.Spend && !Request.Spend()) {
     Selector.cancel(*Choice, boot_clock::now());
+    Turn->limits().finish(Choice->Target, admission::target_outcome::Failed, {},
+                          boot_clock::now());
     return common::makeError(error_kind::RateUnavailable,
                              "the right to send the request has ended");
   }
@@ -169,7 +204,7 @@
     Notify = [Pipe = Request.Pipe] { Pipe->close(); };
   const auto Attempt = std::make_shared<attempt>(
       Upstream.start(buildRequest(Request), std::move(Address), Notify),
-      std::move(*Choice), Selector, Request.Deadline);
+      std::move(*Choice), Selector, Turn, Request.Deadline);
   if (Request.PumpBody)
     Request.PumpBody();
   return Attempt;
@@ -179,10 +214,14 @@
 forwarder::forward(const forward_request &Request,
                    const std::function<void(std::function<void()>)> &OnCancel,
                    forward_report &Report) {
+  const auto Turn = Queues.await(Request.Service->Name, Request.Workspace,
+                                 Request.Deadline);
+  if (!Turn.ok())
+    return Turn.status();
   std::vector<std::string> Tried;
   absl::Status Last;
   while (Report.Attempts < MaxAttempts) {
-    auto Attempt = begin(Request, Tried);
+    auto Attempt = begin(Request, *Turn, Tried);
     if (!Attempt.ok())
       return Last.ok() ? Attempt.status() : Last;
     ++Report.Attempts;
--- a/Source/Magnoliad/Forwarder.h
+++ b/Source/Magnoliad/Forwarder.h
@@ -11,6 +11,7 @@
 #include "Common/Time.h"
 #include "Contract/Manifest.h"
 #include "Magnoliad/BodyPipe.h"
+#include "Magnoliad/QueueAgent.h"
 #include "Net/Http/HttpServer.h"
 #include "Net/Upstream/UpstreamPool.h"
 #include "Target/Selector.h"
@@ -54,8 +55,9 @@
 /// Sends requests to targets: choice, attempts and retries.
 class forwarder {
 public:
-  forwarder(net::upstream_pool &Upstream, target::target_selector &Selector)
-      : Upstream(Upstream), Selector(Selector) {}
+  forwarder(net::upstream_pool &Upstream, target::target_selector &Selector,
+            queue_agent &Queues)
+      : Upstream(Upstream), Selector(Selector), Queues(Queues) {}
 
   /// The answer's head, or why there is none. \p OnCancel is given a function
   /// that ends the attempt in flight and may be called by any thread.
@@ -69,11 +71,16 @@
   using attempt_ptr = std::shared_ptr<attempt>;
 
   absl::StatusOr<attempt_ptr> begin(const forward_request &Request,
+                                    const queue_turn_ptr &Turn,
                                     std::vector<std::string> &Tried);
+  std::optional<target::choice> choose(const forward_request &Request,
+                                       queue_turn &Turn,
+                                       const std::vector<std::string> &Tried);
   net::upstream_request buildRequest(const forward_request &Request) const;
 
   net::upstream_pool &Upstream;
   target::target_selector &Selector;
+  queue_agent &Queues;
 };
 
 } // namespace magnolia::daemon
--- a/Source/Magnoliad/Main.cpp
+++ b/Source/Magnoliad/Main.cpp
@@ -10,6 +10,7 @@
 
 /// The instance daemon as the hooks of a program.
 struct instance_program {
+  /// As read last; a reload changes only what the program room applies.
   daemon::settings Settings;
   std::unique_ptr<daemon::node> Node;
 
--- /dev/null
+++ b/Source/Magnoliad/MemberAgent.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Instance/Directory.h"
+#include "Instance/Membership.h"
+#include "Magnoliad/PeerMail.h"
+#include "Magnoliad/Settings.h"
+#include "Net/Http/Message.h"
+#include "Platform/Services.h"
+#include "Quota/HomeOrder.h"
+
+namespace magnolia::daemon {
+
+/// Runs the membership: this instance's row in the table, the others' rows, the
+/// platform's list and heartbeats; answers the directory. Thread-safe.
+class member_agent {
+public:
+  /// What a heartbeat says of the configuration in force.
+  using version_hook = std::function<uint64_t()>;
+
+  member_agent(const settings &Settings, instance::instance_info Self,
+               platform::services Services, peer_mail &Mail,
+               version_hook Version);
+
+  /// Tells every peer that this instance lives.
+  void heartbeat(common::boot_time Now);
+
+  /// Reads rows and list, writes the own row if it is due; blocks.
+  void syncTable(common::boot_time Now);
+
+  /// From now on this instance tells that it leaves.
+  void leave() { Members.leave(); }
+  bool leavingKnownToAll(common::boot_time Now) const {
+    return Members.leavingKnownToAll(Now);
+  }
+
+  /// Removes the own row; blocks.
+  void removeRow();
+
+  /// Names of the others that are not gone.
+  std::vector<std::string> peers(common::boot_time Now) const;
+
+  /// The others that live and stay, and this instance while it stays.
+  std::vector<quota::home_candidate> candidates(common::boot_time Now) const;
+
+  /// The directory's answer; \p Homes come first.
+  http::whole_answer answer(absl::Span<const std::string> Homes,
+                            common::boot_time Now) const;
+
+  std::vector<instance::member> members(common::boot_time Now) const {
+    return Members.members(Now);
+  }
+
+private:
+  void receive(std::string_view Body);
+  void learnAddresses(common::boot_time Now);
+  void writeRow(common::boot_time Now);
+
+  const settings &Settings;
+  const platform::services Services;
+  peer_mail &Mail;
+  const version_hook Version;
+  instance::membership Members;
+  absl::Mutex Mutex;
+  uint64_t WrittenVersion ABSL_GUARDED_BY(Mutex) = 0;
+  common::boot_time NextRow ABSL_GUARDED_BY(Mutex) = common::boot_time::min();
+  bool RowRemoved ABSL_GUARDED_BY(Mutex) = false;
+};
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/Source/Magnoliad/NodeImpl.cpp
@@ -0,0 +1,188 @@
+#include "Magnoliad/NodeImpl.h"
+
+#include <algorithm>
+#include <fstream>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+
+#include "Common/Digest.h"
+#include "Common/ErrorKind.h"
+#include "Common/Log.h"
+#include "Magnoliad/Refusal.h"
+#include "Net/Http/Socket.h"
+#include "Net/Platform/PlatformClient.h"
+
+namespace magnolia::daemon {
+namespace {
+
+using common::boot_clock;
+using common::boot_time;
+using common::log_level;
+
+constexpr const char *Room = "Node";
+constexpr const char *BootIdFile = "/proc/sys/kernel/random/boot_id";
+constexpr size_t ProcessNameBytes = 8;
+
+std::string readBootId() {
+  std::ifstream File(BootIdFile);
+  std::string Id;
+  std::getline(File, Id);
+  return Id;
+}
+
+uint64_t startIncarnation() {
+  return static_cast<uint64_t>(common::toUnixMicros(common::wallNow()));
+}
+
+/// The advertised address, or the bound one.
+std::string advertised(const std::string &Setting, const std::string &Bound) {
+  return Setting.empty() ? Bound : Setting;
+}
+
+} // namespace
+
+node::impl::impl(const settings &Settings)
+    : Settings(Settings), Process(common::randomHex(ProcessNameBytes)),
+      BootId(readBootId()), Incarnation(startIncarnation()),
+      Selector({Settings.Identity.Name, Settings.Identity.FailureDomain,
+                Incarnation},
+               Settings.Targets),
+      Upstream({}), Forwarder(Upstream, Selector, Queues),
+      Background(std::make_unique<background>()) {}
+
+node::impl::~impl() {
+  TimerThread.reset();
+  if (Mail)
+    Mail->stop();
+  Background.reset();
+  Callers.reset();
+}
+
+absl::Status node::impl::start() {
+  const auto Services = net::connectPlatform(
+      {.Address = Settings.PlatformAddress,
+       .ConnectTimeout = Settings.Follow.PlatformTimeout,
+       .AnswerTimeout = Settings.Follow.PlatformTimeout});
+  if (!Services.ok())
+    return Services.status();
+  absl::Status Status = bind();
+  if (Status.ok())
+    Status = buildAgents(*Services);
+  if (Status.ok())
+    Status = serveCallers();
+  if (!Status.ok())
+    return Status;
+  addMetrics();
+  Mail->start();
+  subscribeTimers();
+  TimerThread = std::make_unique<common::timer_thread>(Timers);
+  common::log(log_level::Info, Room, "instance started",
+              {{"name", Settings.Identity.Name},
+               {"failure_domain", Settings.Identity.FailureDomain},
+               {"callers", Callers->address()},
+               {"peers", Mail->address()}});
+  return absl::OkStatus();
+}
+
+absl::Status node::impl::bind() {
+  auto Created =
+      peer_mail::create(Settings.Identity.PeerListen, Settings.Identity.Name);
+  if (!Created.ok())
+    return Created.status();
+  Mail = std::move(*Created);
+
+  http::http_server_options Options;
+  Options.Address = Settings.Identity.CallerListen;
+  Options.MaxHeadBytes = Settings.Limits.HeadBytes;
+  Options.MaxThreads = Settings.Limits.Requests;
+  Options.MaxConnections = Settings.Limits.Connections;
+  auto Server = http::http_server::create(
+      Options,
+      [this](http::http_exchange &Exchange) { Gateway->handle(Exchange); },
+      [](const absl::Status &Status) { return makeRefusal(Status, ""); });
+  if (!Server.ok())
+    return Server.status();
+  Callers = std::move(*Server);
+  return absl::OkStatus();
+}
+
+absl::Status node::impl::buildAgents(const platform::services &Services) {
+  const identity_settings &Identity = Settings.Identity;
+  instance::instance_info Self;
+  Self.Name = Identity.Name;
+  Self.Incarnation = Incarnation;
+  Self.BootId = BootId;
+  Self.FailureDomain = Identity.FailureDomain;
+  Self.CallerAddress =
+      advertised(Identity.CallerAdvertise, Callers->address());
+  Self.PeerAddress = advertised(Identity.PeerAdvertise, Mail->address());
+
+  auto Created =
+      rate_agent::create(Settings, Mail->address(), BootId, Services, *Mail);
+  if (!Created.ok())
+    return Created.status();
+  Rates = std::move(*Created);
+  Targets = std::make_unique<target_agent>(Selector, Process, Services,
+                                           Upstream, *Mail);
+  Members = std::make_unique<member_agent>(
+      Settings, std::move(Self), Services, *Mail,
+      [this] { return Config->version(); });
+  Config = std::make_unique<config_agent>(
+      Settings, Services, *Background, *Mail,
+      [this](const contract::snapshot_ptr &Snapshot) { apply(Snapshot); });
+  return absl::OkStatus();
+}
+
+absl::Status node::impl::serveCallers() {
+  Gateway = std::make_unique<gateway>(Settings, gatewayHooks(), Forwarder,
+                                      Metrics);
+  auto Created = admin_pages::create(Settings.Identity.AdminListen, Metrics,
+                                     adminHooks());
+  if (!Created.ok())
+    return Created.status();
+  Admin = std::move(*Created);
+  Callers->start();
+  return absl::OkStatus();
+}
+
+std::string node::impl::portLines() const {
+  return absl::StrCat("callers ", http::portOf(Callers->address()), "\npeers ",
+                      http::portOf(Mail->address()), "\nadmin ",
+                      http::portOf(Admin->address()), "\n");
+}
+
+void node::impl::addMetrics() {
+  Metrics.addReader([this](std::vector<metric_sample> &Samples) {
+    Samples.push_back({"magnolia_configuration_version",
+                       "Version of the configuration in force.",
+                       {},
+                       static_cast<double>(Config->version())});
+    Samples.push_back({"magnolia_configuration_fresh",
+                       "Whether keyed requests are served.",
+                       {},
+                       Config->isFresh() ? 1.0 : 0.0});
+    Samples.push_back({"magnolia_connections",
+                       "Open connections of callers.",
+                       {},
+                       static_cast<double>(Callers->openConnections())});
+  });
+  Metrics.addReader([this](std::vector<metric_sample> &Samples) {
+    for (const auto &Target : Selector.snapshot(boot_clock::now()))
+      Samples.push_back({"magnolia_target_standing",
+                         "1 for the standing that a target has.",
+                         {{"service", Target.Service},
+                          {"target", Target.Target},
+                          {"standing", std::string(nameOf(Target.Standing))}},
+                         1});
+  });
+  Metrics.addReader([this](std::vector<metric_sample> &Samples) {
+    for (const auto &[Service, Counters] : Queues.counters())
+      Samples.push_back({"magnolia_queue_waiting",
+                         "Requests that wait for a slot.",
+                         {{"service", Service}},
+                         static_cast<double>(Counters.Waiting)});
+  });
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/Source/Magnoliad/NodeImpl.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "Common/TimerService.h"
+#include "Magnoliad/AdminPages.h"
+#include "Magnoliad/Background.h"
+#include "Magnoliad/ConfigAgent.h"
+#include "Magnoliad/Forwarder.h"
+#include "Magnoliad/Gateway.h"
+#include "Magnoliad/MemberAgent.h"
+#include "Magnoliad/Metrics.h"
+#include "Magnoliad/Node.h"
+#include "Magnoliad/PeerMail.h"
+#include "Magnoliad/QueueAgent.h"
+#include "Magnoliad/RateAgent.h"
+#include "Magnoliad/TargetAgent.h"
+#include "Net/Http/HttpServer.h"
+
+namespace magnolia::daemon {
+
+/// Owns the parts of an instance and drives them from timers. Parts stand in
+/// the order in which they are built; they go in the reverse order.
+class node::impl {
+public:
+  explicit impl(const settings &Settings);
+  ~impl();
+  impl(const impl &) = delete;
+  impl &operator=(const impl &) = delete;
+
+  absl::Status start();
+  std::string portLines() const;
+  void stop();
+
+private:
+  absl::Status bind();
+  absl::Status buildAgents(const platform::services &Services);
+  absl::Status serveCallers();
+  void subscribeTimers();
+  void every(std::chrono::milliseconds Period,
+             common::timer_service::callback Callback);
+  void everyInBackground(std::chrono::milliseconds Period,
+                         std::function<void()> Job);
+
+  gateway_hooks gatewayHooks();
+  admin_hooks adminHooks();
+  std::string statusJson();
+  void apply(const contract::snapshot_ptr &Snapshot);
+  /// Tells the queues which targets are usable.
+  void shareTargets(common::boot_time Now);
+  void stepRates();
+  void addMetrics();
+
+  void awaitPeersKnow();
+  void returnRights();
+
+  const settings Settings;
+  const std::string Process;
+  const std::string BootId;
+  const uint64_t Incarnation;
+  metrics Metrics;
+  target::target_selector Selector;
+  net::upstream_pool Upstream;
+  queue_agent Queues;
+  forwarder Forwarder;
+  std::unique_ptr<peer_mail> Mail;
+  std::unique_ptr<rate_agent> Rates;
+  std::unique_ptr<target_agent> Targets;
+  std::unique_ptr<member_agent> Members;
+  std::unique_ptr<config_agent> Config;
+  std::unique_ptr<gateway> Gateway;
+  std::unique_ptr<admin_pages> Admin;
+  std::unique_ptr<http::http_server> Callers;
+  std::atomic<bool> Leaving{false};
+  common::timer_service Timers;
+  // Run jobs and timers that use all of the above, so they end first.
+  std::unique_ptr<background> Background;
+  std::unique_ptr<common::timer_thread> TimerThread;
+};
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/Source/Magnoliad/NodeRun.cpp
@@ -0,0 +1,179 @@
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
+#include "Common/Log.h"
+#include "Magnoliad/NodeImpl.h"
+
+/// The running part of an instance: timers, hooks between the parts, the stop.
+namespace magnolia::daemon {
+namespace {
+
+using common::boot_clock;
+using common::boot_time;
+using common::log_level;
+
+constexpr const char *Room = "Node";
+
+constexpr milliseconds RatePeriod{5};
+constexpr milliseconds QueuePeriod{5};
+constexpr milliseconds FollowerPeriod{100};
+constexpr milliseconds JudgePeriod{100};
+constexpr milliseconds DigestPeriod{250};
+constexpr milliseconds LeasePeriod{1000};
+constexpr milliseconds SharePeriod{500};
+constexpr milliseconds TablePeriod{1000};
+constexpr milliseconds IdlePeriod{1000};
+
+constexpr milliseconds StopPoll{20};
+/// Longest wait for peers that do not confirm that this instance leaves.
+constexpr milliseconds LongestAnnouncement{5000};
+/// Longest wait for the return of shares; what stays ends with its lease.
+constexpr milliseconds LongestReturn{5000};
+/// Idle connections must be quiet for this long before they are closed.
+constexpr milliseconds QuietTime{200};
+/// Requests in flight have deadlines; none is above this.
+constexpr milliseconds LongestRequest{120'000};
+
+} // namespace
+
+void node::impl::every(milliseconds Period,
+                       common::timer_service::callback Callback) {
+  Timers.subscribeEvery(boot_clock::now(), Period, std::move(Callback));
+}
+
+void node::impl::everyInBackground(milliseconds Period,
+                                   std::function<void()> Job) {
+  every(Period, [Start = Background->exclusive(std::move(Job))](boot_time) {
+    Start();
+  });
+}
+
+void node::impl::subscribeTimers() {
+  every(RatePeriod, [this](boot_time) { Rates->advance(); });
+  every(QueuePeriod, [this](boot_time Now) { Queues.advance(Now); });
+  every(FollowerPeriod, [this](boot_time Now) {
+    Config->setPeers(Members->peers(Now));
+    Config->advance(Now);
+  });
+  every(JudgePeriod, [this](boot_time Now) {
+    Targets->tick(Now);
+    shareTargets(Now);
+  });
+  every(DigestPeriod, [this](boot_time Now) {
+    Targets->publish(Members->peers(Now), Now);
+  });
+  every(Settings.Follow.HeartbeatPeriod,
+        [this](boot_time Now) { Members->heartbeat(Now); });
+  every(IdlePeriod, [this](boot_time) { Upstream.closeIdle(); });
+  everyInBackground(TablePeriod,
+                    [this] { Members->syncTable(boot_clock::now()); });
+  everyInBackground(LeasePeriod,
+                    [this] { Targets->pollLease(boot_clock::now()); });
+  everyInBackground(LeasePeriod,
+                    [this] { Targets->probe(boot_clock::now()); });
+  everyInBackground(SharePeriod, [this] { stepRates(); });
+}
+
+void node::impl::shareTargets(boot_time Now) {
+  Queues.setTargets(Selector.snapshot(Now),
+                    static_cast<uint32_t>(Members->candidates(Now).size()));
+}
+
+void node::impl::stepRates() {
+  if (Leaving)
+    return;
+  const absl::Status Status =
+      Rates->step(Members->candidates(boot_clock::now()));
+  if (!Status.ok())
+    common::log(log_level::Debug, Room, "shares could not be looked after",
+                {{"detail", std::string(Status.message())}});
+}
+
+void node::impl::apply(const contract::snapshot_ptr &Snapshot) {
+  Selector.setServices(Snapshot->content().Manifest.Services);
+  Queues.setConfiguration(Snapshot);
+  Rates->setConfiguration(Snapshot);
+}
+
+gateway_hooks node::impl::gatewayHooks() {
+  gateway_hooks Hooks;
+  Hooks.Snapshot = [this] { return Config->snapshot(); };
+  Hooks.IsFresh = [this] { return Config->isFresh(); };
+  Hooks.AdmitRate = [this](std::string_view Workspace, boot_time Deadline) {
+    return Rates->admit(Workspace, Deadline);
+  };
+  Hooks.Directory = [this](std::string_view Workspace) {
+    return Members->answer(Rates->homes(Workspace), boot_clock::now());
+  };
+  return Hooks;
+}
+
+admin_hooks node::impl::adminHooks() {
+  admin_hooks Hooks;
+  Hooks.NotReady = [this]() -> std::string {
+    if (Leaving)
+      return "the instance is leaving";
+    if (!Config->snapshot())
+      return "no configuration yet";
+    return Config->isFresh() ? "" : "cut off from news of the configuration";
+  };
+  Hooks.Status = [this] { return statusJson(); };
+  return Hooks;
+}
+
+std::string node::impl::statusJson() {
+  const boot_time Now = boot_clock::now();
+  nlohmann::json Status = {{"name", Settings.Identity.Name},
+                           {"version", Config->version()},
+                           {"fresh", Config->isFresh()},
+                           {"leaving", Leaving.load()}};
+  for (const instance::member &Member : Members->members(Now))
+    Status["members"].push_back(
+        {{"name", Member.Info.Name},
+         {"failure_domain", Member.Info.FailureDomain},
+         {"presence", std::string(nameOf(Member.Presence))},
+         {"version", Member.ConfigurationVersion}});
+  for (const target::target_status &Target : Selector.snapshot(Now))
+    Status["targets"].push_back(
+        {{"service", Target.Service},
+         {"target", Target.Target},
+         {"standing", std::string(nameOf(Target.Standing))},
+         {"in_flight", Target.InFlight}});
+  return Status.dump();
+}
+
+void node::impl::awaitPeersKnow() {
+  const boot_time Limit = boot_clock::now() + LongestAnnouncement;
+  while (!Members->leavingKnownToAll(boot_clock::now()) &&
+         boot_clock::now() < Limit)
+    std::this_thread::sleep_for(StopPoll);
+}
+
+void node::impl::returnRights() {
+  const boot_time Limit = boot_clock::now() + LongestReturn;
+  while (!Rates->release().ok() && boot_clock::now() < Limit)
+    std::this_thread::sleep_for(StopPoll);
+}
+
+void node::impl::stop() {
+  common::log(log_level::Info, Room, "leaving");
+  Leaving = true;
+  Members->leave();
+  Members->heartbeat(boot_clock::now());
+  Callers->beginDrain();
+  Members->removeRow();
+  awaitPeersKnow();
+  common::log(log_level::Info, Room, "peers know that this instance leaves");
+
+  // Callers still come with directory answers that they kept.
+  std::this_thread::sleep_for(Settings.Directory.Keep);
+  const bool Whole = Callers->finish(QuietTime, LongestRequest);
+  returnRights();
+  Targets->releaseLease();
+  common::log(Whole ? log_level::Info : log_level::Warning, Room,
+              Whole ? "every request is finished"
+                    : "requests were cut off at the longest wait");
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/Source/Magnoliad/QueueAgent.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/statusor.h>
+#include <absl/synchronization/mutex.h>
+
+#include "Admission/ConcurrencyLimits.h"
+#include "Admission/FairQueue.h"
+#include "Contract/Snapshot.h"
+#include "Target/Selector.h"
+
+namespace magnolia::daemon {
+
+/// The queue and the limits of one service in this instance.
+struct service_queue {
+  service_queue(const admission::fair_queue_options &Options)
+      : Limits(admission::additiveIncreaseRule()),
+        Queue(Options, [this] { return Limits.capacity(); }) {}
+
+  admission::concurrency_limits Limits;
+  admission::fair_queue Queue;
+};
+
+/// The right to have one request at a target; given back when destroyed.
+class queue_turn {
+public:
+  queue_turn(std::shared_ptr<service_queue> Service, admission::ticket Ticket)
+      : Service(std::move(Service)), Ticket(Ticket) {}
+  ~queue_turn();
+  queue_turn(const queue_turn &) = delete;
+  queue_turn &operator=(const queue_turn &) = delete;
+
+  /// The target refused or failed: the workspace pays no more than usual.
+  void markFailed() { Use = admission::slot_use::Failed; }
+
+  admission::concurrency_limits &limits() { return Service->Limits; }
+
+private:
+  const std::shared_ptr<service_queue> Service;
+  const admission::ticket Ticket;
+  admission::slot_use Use = admission::slot_use::Completed;
+};
+
+using queue_turn_ptr = std::shared_ptr<queue_turn>;
+
+/// The fair queues of all services. Thread-safe.
+class queue_agent {
+public:
+  /// Waits for the workspace's turn; fails with QueueFull or
+  /// QueueDeadlineExceeded.
+  absl::StatusOr<queue_turn_ptr> await(std::string_view Service,
+                                       std::string_view Workspace,
+                                       common::boot_time Deadline);
+
+  void setConfiguration(const contract::snapshot_ptr &Snapshot);
+
+  /// Tells the limits which targets are usable; \p Sharers instances share
+  /// them.
+  void setTargets(const std::vector<target::target_status> &Targets,
+                  uint32_t Sharers);
+
+  /// Refuses what is too late; call every few milliseconds.
+  void advance(common::boot_time Now);
+
+  /// Waiting and running requests, by service.
+  std::vector<std::pair<std::string, admission::fair_queue_counters>>
+  counters() const;
+
+private:
+  using service_ptr = std::shared_ptr<service_queue>;
+
+  service_ptr find(std::string_view Service) const;
+  std::vector<std::pair<std::string, service_ptr>> all() const;
+
+  mutable absl::Mutex Mutex;
+  absl::flat_hash_map<std::string, service_ptr> Services
+      ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/Source/Magnoliad/RateAgent.cpp
@@ -0,0 +1,201 @@
+#include "Magnoliad/RateAgent.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/time/time.h>
+
+#include "Common/Digest.h"
+#include "Common/ErrorKind.h"
+#include "Common/StringView.h"
+#include "Quota/HomeOrder.h"
+
+namespace magnolia::daemon {
+namespace {
+
+using common::boot_clock;
+using common::boot_time;
+using common::error_kind;
+
+constexpr std::string_view MessageType = "quota";
+constexpr size_t ProcessNameBytes = 8;
+
+quota::instant instantNow() { return {boot_clock::now(), common::wallNow()}; }
+
+quota::keeper_options keeperOptions(const settings &Settings,
+                                    const std::string &PeerAddress,
+                                    const std::string &BootId,
+                                    const std::string &Process) {
+  quota::keeper_options Options;
+  Options.Instance = Settings.Identity.Name;
+  Options.FailureDomain = Settings.Identity.FailureDomain;
+  Options.Address = PeerAddress;
+  Options.BootId = BootId;
+  Options.Process = Process;
+  // The peer port is bound without sharing and held until the last spending.
+  Options.BoundExclusively = true;
+  return Options;
+}
+
+absl::Status refusalStatus(const quota::refusal &Refusal) {
+  if (Refusal.Reason == quota::refusal_reason::RateExceeded)
+    return common::makeError(error_kind::RateExceeded,
+                             "the workspace is over its rate");
+  return common::makeError(error_kind::RateUnavailable,
+                           "the workspace's rate cannot be reached now");
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<rate_agent>>
+rate_agent::create(const settings &Settings, const std::string &PeerAddress,
+                   const std::string &BootId,
+                   const platform::services &Services, peer_mail &Mail) {
+  std::unique_ptr<rate_agent> Agent(new rate_agent(Mail));
+  rate_agent *const Raw = Agent.get();
+  const std::string Process = common::randomHex(ProcessNameBytes);
+
+  quota::gate_options GateOptions;
+  GateOptions.Self = Settings.Identity.Name;
+  GateOptions.Process = common::stableHash(Process);
+  quota::gate_hooks GateHooks;
+  GateHooks.Send = [Raw](const std::string &Peer,
+                         const quota::message &Message) {
+    const std::vector<uint8_t> Bytes = quota::encode(Message);
+    Raw->Mail.send(Peer, MessageType,
+                   {reinterpret_cast<const char *>(Bytes.data()),
+                    Bytes.size()});
+  };
+  GateHooks.Resolved = [Raw](const quota::resolution &Resolution) {
+    Raw->resolve(Resolution);
+  };
+  auto Gate = quota::rate_gate::create(GateOptions, std::move(GateHooks));
+  if (!Gate.ok())
+    return Gate.status();
+  Agent->Gate = std::move(*Gate);
+
+  quota::keeper_hooks KeeperHooks;
+  KeeperHooks.SharesChanged = [Raw](const quota::share_view_ptr &View,
+                                    quota::instant Now) {
+    Raw->setShares(View, Now);
+  };
+  KeeperHooks.LeaseChanged = [Raw](quota::expiry Lease) {
+    Raw->Gate->setLease(Lease);
+  };
+  KeeperHooks.LongestLoan = [Raw](quota::instant Now) {
+    return Raw->Gate->longestLoan(Now);
+  };
+  auto Keeper = quota::share_keeper::create(
+      keeperOptions(Settings, PeerAddress, BootId, Process), Services.Table,
+      std::move(KeeperHooks));
+  if (!Keeper.ok())
+    return Keeper.status();
+  Agent->Keeper = std::move(*Keeper);
+
+  Mail.subscribe(MessageType,
+                 [Raw](const std::string &From, std::string_view Body) {
+                   Raw->receive(From, Body);
+                 });
+  return Agent;
+}
+
+absl::StatusOr<rate_permit> rate_agent::admit(std::string_view Workspace,
+                                              boot_time Deadline) {
+  const quota::admission Admission =
+      Gate->admit(Workspace, instantNow(), Deadline);
+  if (const auto *Ticket = std::get_if<quota::ticket>(&Admission))
+    return await(Workspace, Ticket->Number, Deadline);
+  return conclude(Admission);
+}
+
+absl::StatusOr<rate_permit> rate_agent::await(std::string_view Workspace,
+                                              uint64_t Ticket,
+                                              boot_time Deadline) {
+  {
+    const absl::MutexLock Lock(&Mutex);
+    while (true) {
+      const auto Found = Resolved.find(Ticket);
+      if (Found != Resolved.end()) {
+        const quota::admission Admission = std::move(Found->second);
+        Resolved.erase(Found);
+        return conclude(Admission);
+      }
+      const auto Left = Deadline - boot_clock::now();
+      if (Left <= Left.zero())
+        break;
+      ResolvedAny.WaitWithTimeout(&Mutex, absl::FromChrono(Left));
+    }
+  }
+  Gate->withdraw(Workspace, Ticket, instantNow());
+  dropResolved(Ticket);
+  return common::makeError(error_kind::RateUnavailable,
+                           "the workspace's rate was not granted in time");
+}
+
+void rate_agent::dropResolved(uint64_t Ticket) {
+  std::optional<quota::admission> Admission;
+  {
+    const absl::MutexLock Lock(&Mutex);
+    const auto Found = Resolved.find(Ticket);
+    if (Found == Resolved.end())
+      return;
+    Admission = std::move(Found->second);
+    Resolved.erase(Found);
+  }
+  if (const auto *Permit = std::get_if<quota::permit>(&*Admission))
+    Gate->cancel(*Permit, instantNow());
+}
+
+absl::StatusOr<rate_permit>
+rate_agent::conclude(const quota::admission &Admission) {
+  if (const auto *Refusal = std::get_if<quota::refusal>(&Admission))
+    return refusalStatus(*Refusal);
+  const auto Permit =
+      std::make_shared<const quota::permit>(std::get<quota::permit>(Admission));
+  return rate_permit{
+      [this, Permit] { return Gate->spend(*Permit, instantNow()); },
+      [this, Permit] { Gate->cancel(*Permit, instantNow()); }};
+}
+
+void rate_agent::resolve(const quota::resolution &Resolution) {
+  const absl::MutexLock Lock(&Mutex);
+  Resolved.emplace(Resolution.Ticket, Resolution.Result);
+  ResolvedAny.SignalAll();
+}
+
+void rate_agent::receive(const std::string &From, std::string_view Body) {
+  const auto Message = quota::decode(
+      {reinterpret_cast<const uint8_t *>(Body.data()), Body.size()});
+  if (Message.ok())
+    Gate->handleMessage(From, *Message, instantNow());
+}
+
+void rate_agent::advance() { Gate->advance(instantNow()); }
+
+void rate_agent::setConfiguration(const contract::snapshot_ptr &Snapshot) {
+  Gate->setConfiguration(Snapshot->content().Manifest.Workspaces,
+                         instantNow());
+}
+
+void rate_agent::setShares(const quota::share_view_ptr &View,
+                           quota::instant Now) {
+  Gate->setShares(View, Now);
+  const absl::MutexLock Lock(&Mutex);
+  Shares = View;
+}
+
+absl::Status rate_agent::step(absl::Span<const quota::home_candidate> Live) {
+  return Keeper->step(instantNow(), Live);
+}
+
+absl::Status rate_agent::release() {
+  Gate->release(instantNow());
+  return Keeper->release(instantNow());
+}
+
+std::vector<std::string> rate_agent::homes(std::string_view Workspace) {
+  const absl::MutexLock Lock(&Mutex);
+  if (!Shares)
+    return {};
+  return quota::homesOf(*Shares, Workspace);
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/Source/Magnoliad/RateAgent.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/statusor.h>
+#include <absl/synchronization/mutex.h>
+
+#include "Magnoliad/Gateway.h"
+#include "Magnoliad/PeerMail.h"
+#include "Platform/Services.h"
+#include "Quota/RateGate.h"
+#include "Quota/ShareKeeper.h"
+
+namespace magnolia::daemon {
+
+/// Runs the rate gate and the share keeper. Thread-safe, but for step() and
+/// release(), which one thread calls.
+class rate_agent {
+public:
+  static absl::StatusOr<std::unique_ptr<rate_agent>>
+  create(const settings &Settings, const std::string &PeerAddress,
+         const std::string &BootId, const platform::services &Services,
+         peer_mail &Mail);
+
+  /// Waits until \p Workspace may send a request; fails with RateExceeded or
+  /// RateUnavailable.
+  absl::StatusOr<rate_permit> admit(std::string_view Workspace,
+                                    common::boot_time Deadline);
+
+  /// Ends waits and loans that are over; call every few milliseconds.
+  void advance();
+
+  void setConfiguration(const contract::snapshot_ptr &Snapshot);
+
+  /// Looks after lease and shares in the table; blocks.
+  absl::Status step(absl::Span<const quota::home_candidate> Live);
+
+  /// For a planned stop: returns loans and shares; blocks. Repeat on an error.
+  absl::Status release();
+
+  /// The workspace's home instances, in the order in which to use them.
+  std::vector<std::string> homes(std::string_view Workspace);
+
+private:
+  explicit rate_agent(peer_mail &Mail) : Mail(Mail) {}
+
+  absl::StatusOr<rate_permit> await(std::string_view Workspace,
+                                    uint64_t Ticket,
+                                    common::boot_time Deadline);
+  /// Gives back what was resolved too late for its waiter.
+  void dropResolved(uint64_t Ticket);
+  absl::StatusOr<rate_permit> conclude(const quota::admission &Admission);
+  void resolve(const quota::resolution &Resolution);
+  void receive(const std::string &From, std::string_view Body);
+  void setShares(const quota::share_view_ptr &View, quota::instant Now);
+
+  peer_mail &Mail;
+  std::unique_ptr<quota::rate_gate> Gate;
+  std::unique_ptr<quota::share_keeper> Keeper;
+
+  absl::Mutex Mutex;
+  absl::CondVar ResolvedAny;
+  /// Answers to tickets that were not fetched yet.
+  absl::flat_hash_map<uint64_t, quota::admission> Resolved
+      ABSL_GUARDED_BY(Mutex);
+  quota::share_view_ptr Shares ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace magnolia::daemon
--- a/Source/Net/Http/HttpServer.cpp
+++ b/Source/Net/Http/HttpServer.cpp
@@ -48,16 +48,19 @@
         Workers(Options.MaxThreads) {
     watch(Listener.get(), EPOLLIN, EPOLL_CTL_ADD);
     watch(Waker.get(), EPOLLIN, EPOLL_CTL_ADD);
-    Loop = std::thread([this] { run(); });
   }
 
   ~impl() {
     Stopping = true;
     wake();
-    Loop.join();
+    if (Loop.joinable())
+      Loop.join();
     shutAll();
   }
 
+  void start() {
+    Loop = std::thread([this] { run(); });
+  }
   const std::string &address() const { return Address; }
   void beginDrain() { Library.beginDrain(); }
   bool finish(milliseconds Quiet, milliseconds Limit);
@@ -303,6 +306,7 @@
 }
 
 const std::string &http_server::address() const { return Impl->address(); }
+void http_server::start() { Impl->start(); }
 void http_server::beginDrain() { Impl->beginDrain(); }
 
 bool http_server::finish(milliseconds Quiet, milliseconds Limit) {
--- a/Source/Net/Http/HttpServer.h
+++ b/Source/Net/Http/HttpServer.h
@@ -69,10 +69,13 @@
   /// Makes the answer to a request that could not be read.
   using refusal = std::function<whole_answer(const absl::Status &Status)>;
 
-  /// Binds and starts to serve.
+  /// Binds; callers wait in the backlog until start().
   static absl::StatusOr<std::unique_ptr<http_server>>
   create(http_server_options Options, handler Handler, refusal Refusal);
 
+  /// Begins to serve.
+  void start();
+
   /// Closes everything at once; call finish() before for a graceful stop.
   ~http_server();
 
--- a/Source/UnitTests/Net/Http/HttpServerTest.cpp
+++ b/Source/UnitTests/Net/Http/HttpServerTest.cpp
@@ -37,6 +37,7 @@
   auto Server =
       http_server::create(std::move(Options), std::move(Handler), refuse);
   REQUIRE(Server.ok());
+  (*Server)->start();
   return std::move(*Server);
 }
 
