Add the Admission room: a fair queue over adaptive concurrency limits

The slots of a service are few and shared by all instances, so one busy workspace could take them all. Requests wait in a bounded queue that serves workspaces by start-time fair queueing, charged by slot time; requests that cannot meet their deadline and those of the longest backlog are refused as not run. Limits of single targets may lie below one request, since more instances than slots share a target.

Ruled out: a least limit of one request for each target, which lets 14 instances put 84 requests on 36 slots; charging a failing target's time to the workspace that had the bad luck to be sent there.

--- /dev/null
+++ b/Source/Core/Admission/FairQueue.h
@@ -0,0 +1,200 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/statusor.h>
+#include <absl/synchronization/mutex.h>
+
+#include "Common/ErrorKind.h"
+#include "Common/Time.h"
+
+/// Which request of a service runs next, and how many run at once.
+namespace magnolia::admission {
+
+/// Names one submitted request of one queue.
+using ticket = uint64_t;
+
+/// What a workspace pays for a request.
+enum class charge_unit : uint8_t {
+  /// The time for which the request held a slot.
+  SlotTime,
+  /// One for each request, however long it ran.
+  Request,
+};
+
+/// How a granted request ended.
+enum class slot_use : uint8_t {
+  /// The workspace's own work took the time.
+  Completed,
+  /// The target refused or failed; the workspace pays no more than usual.
+  Failed,
+};
+
+/// A request that wants a slot.
+struct admission_request {
+  std::string_view Workspace;
+  /// Share of the slots relative to other workspaces, above zero.
+  double Weight = 1;
+  /// When the answer must be complete.
+  common::boot_time Deadline;
+};
+
+/// Bounds of one queue.
+struct fair_queue_options {
+  /// Requests that may wait.
+  size_t QueueLimit = 256;
+  /// Requests of one workspace that may wait.
+  size_t WorkspaceLimit = 128;
+  charge_unit Charge = charge_unit::SlotTime;
+  /// Slot time that is assumed before anything was measured.
+  std::chrono::microseconds InitialSlotTime{20000};
+  /// A request is refused when less than this part of the usual slot time is
+  /// left before its deadline.
+  double DeadlineMargin = 0.5;
+  /// A workspace without requests is forgotten after this time.
+  std::chrono::microseconds IdleLifetime{10000000};
+};
+
+/// Totals and gauges of one queue.
+struct fair_queue_counters {
+  uint64_t Granted = 0;
+  uint64_t RefusedFull = 0;
+  uint64_t RefusedDeadline = 0;
+  uint64_t Cancelled = 0;
+  size_t Waiting = 0;
+  size_t Running = 0;
+  size_t Workspaces = 0;
+};
+
+/// A bounded queue in front of the slots of one service, fair between
+/// workspaces by start-time fair queueing: the request with the least virtual
+/// start time runs next, and a workspace's virtual time advances by what it
+/// used over its weight. Within a workspace the order is first come, first
+/// served. Free of clocks; thread-safe. Hooks run without the lock held.
+class fair_queue {
+public:
+  /// Tells the outcome of waiting: ok when the request may run, QueueFull or
+  /// QueueDeadlineExceeded when it was refused without having run. Called once
+  /// unless the ticket is cancelled first, also from within submit().
+  using decision_hook =
+      std::function<void(ticket Ticket, const absl::Status &Decision)>;
+
+  /// How many requests may run at once, asked at each decision. It must not
+  /// call the queue.
+  using capacity_hook = std::function<size_t()>;
+
+  fair_queue(const fair_queue_options &Options, capacity_hook Capacity);
+
+  /// Asks for a slot. A refusal at once is returned and the hook not called.
+  absl::StatusOr<ticket> submit(const admission_request &Request,
+                                common::boot_time Now,
+                                decision_hook OnDecision);
+
+  /// Withdraws a waiting request, whose hook is then never called. False when
+  /// it does not wait any more: a grant must then still be released.
+  bool cancel(ticket Ticket, common::boot_time Now);
+
+  /// Ends a granted request and grants waiting ones.
+  void release(ticket Ticket, slot_use Use, common::boot_time Now);
+
+  /// Refuses what cannot meet its deadline and grants what capacity allows.
+  /// Call it regularly and whenever capacity has grown.
+  void advance(common::boot_time Now);
+
+  /// Takes other bounds; requests that wait beyond them stay.
+  void configure(const fair_queue_options &Changed);
+
+  fair_queue_counters counters() const;
+
+private:
+  using tag = double;
+
+  struct waiting_request {
+    ticket Ticket;
+    common::boot_time Deadline;
+    decision_hook OnDecision;
+  };
+
+  struct workspace_state {
+    double Weight = 1;
+    std::deque<waiting_request> Waiting;
+    size_t Running = 0;
+    /// Virtual time at which its next request starts.
+    tag NextStart = 0;
+    /// Smoothed slot time in microseconds.
+    double SlotTime = 0;
+    common::boot_time LastUse;
+  };
+
+  struct running_request {
+    workspace_state *Workspace;
+    common::boot_time Granted;
+    /// Charged at the grant, corrected at the release.
+    double Charged;
+  };
+
+  struct decision {
+    decision_hook Hook;
+    ticket Ticket;
+    absl::Status Status;
+  };
+
+  using decisions = std::vector<decision>;
+
+  workspace_state &stateOf(std::string_view Name, double Weight)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void enqueue(workspace_state &State, waiting_request Request)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void dequeued(workspace_state &State) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  absl::Status makeRoom(const workspace_state &Newcomer, decisions &Decisions)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  workspace_state *longestQueue() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void grantWaiting(common::boot_time Now, decisions &Decisions)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void grantNext(common::boot_time Now, decisions &Decisions)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void refuseLate(common::boot_time Now, decisions &Decisions)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void refuseLateOf(workspace_state &State, common::boot_time Now,
+                    decisions &Decisions) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void setNextStart(workspace_state &State, tag Start)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void settleCharge(const running_request &Request, slot_use Use,
+                    common::boot_time Now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void forgetIdle(common::boot_time Now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  bool isLate(const workspace_state &State, common::boot_time Deadline,
+              common::boot_time Now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  static void run(const decisions &Decisions);
+
+  capacity_hook Capacity;
+
+  mutable absl::Mutex Mutex;
+  fair_queue_options Options ABSL_GUARDED_BY(Mutex);
+  absl::flat_hash_map<std::string, std::unique_ptr<workspace_state>>
+      Workspaces ABSL_GUARDED_BY(Mutex);
+  /// Workspaces with waiting requests, by the start of the next one.
+  absl::btree_set<std::pair<tag, workspace_state *>>
+      Backlogged ABSL_GUARDED_BY(Mutex);
+  absl::flat_hash_map<ticket, workspace_state *>
+      WaitingTickets ABSL_GUARDED_BY(Mutex);
+  absl::flat_hash_map<ticket, running_request> Running ABSL_GUARDED_BY(Mutex);
+  tag VirtualTime ABSL_GUARDED_BY(Mutex) = 0;
+  /// Smoothed slot time over all workspaces in microseconds.
+  double SlotTime ABSL_GUARDED_BY(Mutex);
+  common::boot_time LastSweep ABSL_GUARDED_BY(Mutex);
+  ticket NextTicket ABSL_GUARDED_BY(Mutex) = 1;
+  fair_queue_counters Counters ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace magnolia::admission
--- /dev/null
+++ b/Source/Core/Admission/LimitRule.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+#include "Common/Time.h"
+
+namespace magnolia::admission {
+
+/// How a target took one request.
+enum class target_outcome : uint8_t {
+  Succeeded,
+  /// The target shed it without running it.
+  Refused,
+  /// It failed or timed out; says nothing of the target's slots.
+  Failed,
+};
+
+/// What a limit follows from.
+struct limit_sample {
+  target_outcome Outcome = target_outcome::Succeeded;
+  /// From the first byte written to the end of the answer.
+  std::chrono::microseconds Latency{0};
+  /// Requests in flight to the target when this one ended, itself included.
+  uint32_t InFlight = 1;
+  common::boot_time Now;
+};
+
+/// The adaptive limit of one target in one instance. It may lie below one:
+/// where more instances than slots share a target, each has a part of a slot.
+struct limit_state {
+  double Limit = 1;
+  double Lowest = 0.1;
+  double Highest = 1;
+  /// Smoothed latency in microseconds, and its slow average.
+  double FastLatency = 0;
+  double SlowLatency = 0;
+  common::boot_time LastDecrease;
+};
+
+/// Moves a limit by one sample.
+using limit_rule =
+    std::function<void(limit_state &State, const limit_sample &Sample)>;
+
+/// Additive increase while the limit is in use, multiplicative decrease on a
+/// refusal or when latency rises well above its slow average.
+limit_rule additiveIncreaseRule();
+
+/// Scales the limit by the ratio of slow to fast latency, with a constant
+/// allowance for queueing at the target; a refusal counts as a latency that
+/// doubled.
+limit_rule gradientRule();
+
+/// Keeps the limit as it is.
+limit_rule fixedRule();
+
+} // namespace magnolia::admission
--- /dev/null
+++ b/Source/UnitTests/Admission/FairQueueTest.cpp
@@ -0,0 +1,296 @@
+#include "Admission/FairQueue.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <set>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+using namespace magnolia;
+using namespace magnolia::admission;
+using common::error_kind;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds SlotTime{20};
+
+common::boot_time at(milliseconds Time) { return common::boot_time(Time); }
+
+/// A queue over a settable number of slots that records each decision.
+struct recorder {
+  explicit recorder(const fair_queue_options &Options = {})
+      : Queue(Options, [this] { return Slots; }) {}
+
+  absl::StatusOr<ticket> submit(std::string_view Workspace,
+                                milliseconds Now = {},
+                                milliseconds Timeout = milliseconds(10000),
+                                double Weight = 1) {
+    return Queue.submit({Workspace, Weight, at(Now + Timeout)}, at(Now),
+                        [this, Name = std::string(Workspace)](
+                            ticket T, const absl::Status &Status) {
+                          ++Decided[T];
+                          if (Status.ok())
+                            Granted.push_back({T, Name});
+                          else
+                            Refused.push_back(common::kindOf(Status));
+                        });
+  }
+
+  /// Ends the oldest grant that still runs.
+  void finishOldest(milliseconds Now, slot_use Use = slot_use::Completed) {
+    Queue.release(Granted.at(Finished++).first, Use, at(Now));
+  }
+
+  size_t grantsOf(std::string_view Workspace) const {
+    return static_cast<size_t>(
+        std::count_if(Granted.begin(), Granted.end(),
+                      [&](const auto &G) { return G.second == Workspace; }));
+  }
+
+  size_t Slots = 1;
+  size_t Finished = 0;
+  std::map<ticket, int> Decided;
+  std::vector<std::pair<ticket, std::string>> Granted;
+  std::vector<error_kind> Refused;
+  fair_queue Queue;
+};
+
+} // namespace
+
+TEST_CASE("A queue with one slot") {
+  recorder Fleet;
+
+  SUBCASE("grants at once while the slot is free") {
+    CHECK(Fleet.submit("clubs").ok());
+    CHECK(Fleet.grantsOf("clubs") == 1);
+  }
+
+  SUBCASE("serves a workspace that comes late before the backlog of another") {
+    for (int Count = 0; Count < 50; ++Count)
+      CHECK(Fleet.submit("resellers").ok());
+    CHECK(Fleet.submit("clubs").ok());
+    Fleet.finishOldest(SlotTime);
+    Fleet.finishOldest(2 * SlotTime);
+    CHECK(Fleet.grantsOf("clubs") == 1);
+  }
+
+  SUBCASE("gives no credit for idle time") {
+    for (int Count = 0; Count < 20; ++Count) {
+      CHECK(Fleet.submit("resellers", SlotTime * Count).ok());
+      Fleet.finishOldest(SlotTime * (Count + 1));
+    }
+    for (int Count = 0; Count < 20; ++Count) {
+      CHECK(Fleet.submit("clubs", SlotTime * 21).ok());
+      CHECK(Fleet.submit("resellers", SlotTime * 21).ok());
+    }
+    for (int Count = 0; Count < 10; ++Count)
+      Fleet.finishOldest(SlotTime * (22 + Count));
+    CHECK(Fleet.grantsOf("clubs") <= 6);
+  }
+
+  SUBCASE("forgets a cancelled request") {
+    CHECK(Fleet.submit("clubs").ok());
+    const auto Second = Fleet.submit("clubs");
+    REQUIRE(Second.ok());
+    CHECK(Fleet.Queue.cancel(*Second, at(SlotTime)));
+    CHECK_FALSE(Fleet.Queue.cancel(*Second, at(SlotTime)));
+    Fleet.finishOldest(SlotTime);
+    CHECK(Fleet.Granted.size() == 1);
+    CHECK(Fleet.Queue.counters().Waiting == 0);
+  }
+
+  SUBCASE("refuses what waited until too little time is left") {
+    CHECK(Fleet.submit("clubs").ok());
+    CHECK(Fleet.submit("clubs", {}, milliseconds(100)).ok());
+    Fleet.Queue.advance(at(milliseconds(50)));
+    CHECK(Fleet.Refused.empty());
+    Fleet.Queue.advance(at(milliseconds(95)));
+    CHECK(Fleet.Refused ==
+          std::vector<error_kind>{error_kind::QueueDeadlineExceeded});
+    CHECK(
+        common::kindOf(Fleet.submit("clubs", milliseconds(95), milliseconds(1))
+                           .status()) == error_kind::QueueDeadlineExceeded);
+  }
+
+  SUBCASE("grants nothing past its deadline when a slot is freed late") {
+    CHECK(Fleet.submit("clubs").ok());
+    CHECK(Fleet.submit("clubs", {}, milliseconds(100)).ok());
+    CHECK(Fleet.submit("resellers", {}, milliseconds(1000)).ok());
+    Fleet.finishOldest(milliseconds(150));
+    CHECK(Fleet.grantsOf("clubs") == 1);
+    CHECK(Fleet.grantsOf("resellers") == 1);
+  }
+
+  SUBCASE("forgets workspaces that stay idle") {
+    CHECK(Fleet.submit("clubs").ok());
+    Fleet.finishOldest(SlotTime);
+    CHECK(Fleet.Queue.counters().Workspaces == 1);
+    Fleet.Queue.advance(at(std::chrono::minutes(1)));
+    CHECK(Fleet.Queue.counters().Workspaces == 0);
+  }
+}
+
+TEST_CASE("A full queue") {
+  fair_queue_options Options;
+  Options.QueueLimit = 16;
+  Options.WorkspaceLimit = 12;
+  recorder Fleet(Options);
+  for (int Count = 0; Count < 13; ++Count)
+    REQUIRE(Fleet.submit("resellers").ok());
+
+  SUBCASE("refuses a workspace beyond its own bound") {
+    CHECK(common::kindOf(Fleet.submit("resellers").status()) ==
+          error_kind::QueueFull);
+  }
+
+  SUBCASE("drops from the longest queue for one that has less waiting") {
+    for (int Count = 0; Count < 8; ++Count)
+      CHECK(Fleet.submit("clubs").ok());
+    CHECK(Fleet.Refused.size() == 4);
+    CHECK(Fleet.Queue.counters().Waiting == 16);
+    CHECK(common::kindOf(Fleet.submit("clubs").status()) ==
+          error_kind::QueueFull);
+  }
+}
+
+TEST_CASE("Slots are shared by weight and by the time that they are held") {
+  fair_queue_options Options;
+  Options.QueueLimit = 4096;
+  Options.WorkspaceLimit = 2048;
+  double HeavyWeight = 1;
+  milliseconds HeavyTime = SlotTime;
+
+  SUBCASE("equally") {}
+  SUBCASE("three to one by weight") { HeavyWeight = 3; }
+  SUBCASE("equally although one holds each slot five times as long") {
+    HeavyTime = SlotTime * 5;
+  }
+
+  recorder Fleet(Options);
+  for (int Count = 0; Count < 2000; ++Count) {
+    REQUIRE(Fleet.submit("clubs", {}, milliseconds(1000000)).ok());
+    REQUIRE(Fleet.submit("heavy", {}, milliseconds(1000000), HeavyWeight).ok());
+  }
+  milliseconds Now{0};
+  std::map<std::string, double> Held;
+  for (int Count = 0; Count < 1000; ++Count) {
+    const std::string Name = Fleet.Granted.at(Fleet.Finished).second;
+    const milliseconds Time = Name == "heavy" ? HeavyTime : SlotTime;
+    Now += Time;
+    Held[Name] += static_cast<double>(Time.count());
+    Fleet.finishOldest(Now);
+  }
+  CHECK(Held["heavy"] / HeavyWeight ==
+        doctest::Approx(Held["clubs"]).epsilon(0.03));
+}
+
+TEST_CASE("A target's failure is not charged to the workspace") {
+  recorder Fleet;
+  for (int Count = 0; Count < 40; ++Count) {
+    REQUIRE(Fleet.submit("clubs", {}, milliseconds(100000)).ok());
+    REQUIRE(Fleet.submit("resellers", {}, milliseconds(100000)).ok());
+  }
+  milliseconds Now{0};
+  for (int Count = 0; Count < 20; ++Count) {
+    const bool Unlucky = Fleet.Granted.at(Fleet.Finished).second == "clubs";
+    Now += Unlucky ? SlotTime * 50 : SlotTime;
+    Fleet.finishOldest(Now, Unlucky ? slot_use::Failed : slot_use::Completed);
+  }
+  CHECK(Fleet.grantsOf("clubs") >= 9);
+}
+
+TEST_CASE("Random histories lose no request and stay within the bounds") {
+  for (uint64_t Seed = 1; Seed <= 40; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937_64 Random(Seed);
+    const auto Below = [&](uint64_t Limit) { return Random() % Limit; };
+    fair_queue_options Options;
+    Options.QueueLimit = 20 + Below(40);
+    Options.WorkspaceLimit = 5 + Below(20);
+    recorder Fleet(Options);
+    Fleet.Slots = 1 + Below(6);
+    std::set<ticket> Submitted;
+    std::set<ticket> Cancelled;
+    std::set<ticket> Ended;
+    milliseconds Now{0};
+
+    const auto FinishOne = [&] {
+      for (const auto &[Ticket, Name] : Fleet.Granted)
+        if (Ended.insert(Ticket).second)
+          return Fleet.Queue.release(Ticket, slot_use::Completed, at(Now));
+    };
+    for (int Step = 0; Step < 3000; ++Step) {
+      Now += milliseconds(Below(8));
+      const uint64_t Kind = Below(10);
+      if (Kind < 5) {
+        const auto Ticket = Fleet.submit("w" + std::to_string(Below(7)), Now,
+                                         milliseconds(20 + Below(400)));
+        if (Ticket.ok())
+          CHECK(Submitted.insert(*Ticket).second);
+      } else if (Kind < 8) {
+        FinishOne();
+      } else if (Kind == 8 && !Submitted.empty()) {
+        const ticket Last = *Submitted.rbegin();
+        if (Fleet.Queue.cancel(Last, at(Now)))
+          CHECK(Cancelled.insert(Last).second);
+      } else {
+        Fleet.Slots = 1 + Below(6);
+        Fleet.Queue.advance(at(Now));
+      }
+      const fair_queue_counters Counters = Fleet.Queue.counters();
+      REQUIRE(Counters.Waiting <= Options.QueueLimit);
+      REQUIRE(Counters.Running == Fleet.Granted.size() - Ended.size());
+      const bool WorkConserving =
+          Counters.Waiting == 0 || Counters.Running >= Fleet.Slots;
+      REQUIRE(WorkConserving);
+    }
+    Fleet.Slots = 1;
+    while (Ended.size() < Fleet.Granted.size())
+      FinishOne();
+    Fleet.Queue.advance(at(Now + std::chrono::hours(1)));
+    for (const ticket Ticket : Submitted)
+      CHECK(Fleet.Decided[Ticket] == (Cancelled.count(Ticket) != 0 ? 0 : 1));
+    CHECK(Fleet.Queue.counters().Waiting == 0);
+  }
+}
+
+TEST_CASE("No backlogged workspace falls behind another by more than its "
+          "requests in flight") {
+  for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937_64 Random(Seed);
+    fair_queue_options Options;
+    Options.QueueLimit = 100000;
+    Options.WorkspaceLimit = 100000;
+    Options.Charge = charge_unit::Request;
+    recorder Fleet(Options);
+    Fleet.Slots = 1 + Random() % 6;
+    std::map<std::string, double> Weights;
+    for (int Index = 0; Index < 6; ++Index)
+      Weights["w" + std::to_string(Index)] =
+          static_cast<double>(1 + Random() % 4);
+    for (const auto &[Name, Weight] : Weights) {
+      const uint64_t Backlog = 2000 + Random() % 3000;
+      for (uint64_t Count = 0; Count < Backlog; ++Count)
+        REQUIRE(Fleet.submit(Name, {}, milliseconds(100000000), Weight).ok());
+    }
+    std::map<std::string, double> Served;
+    for (size_t Step = 0; Step < 1500; ++Step) {
+      const std::string &Name = Fleet.Granted.at(Fleet.Finished).second;
+      Served[Name] += 1 / Weights[Name];
+      Fleet.finishOldest(milliseconds(Step));
+      double Least = 1e18;
+      double Most = 0;
+      for (const auto &[Other, Weight] : Weights) {
+        Least = std::min(Least, Served[Other]);
+        Most = std::max(Most, Served[Other]);
+      }
+      // One request a slot, one for the next, each of weight one or more, and
+      // one of the other workspace.
+      REQUIRE(Most - Least <= static_cast<double>(Fleet.Slots) + 2);
+    }
+  }
+}
