--- a/Source/Magnoliad/AdminPages.cpp
+++ b/Source/Magnoliad/AdminPages.cpp
@@ -48,9 +48,9 @@
   if (Path == "/status")
     return page(200, "application/json", Hooks.Status());
   if (Path != "/readyz")
-    return makeRefusal(common::makeError(common::error_kind::RouteNotFound,
-                                         "no such page"),
-                       "");
+    return makeRefusal(
+        common::makeError(common::error_kind::RouteNotFound, "no such page"),
+        "");
   const std::string Reason = Hooks.NotReady();
   if (Reason.empty())
     return page(200, "text/plain", "ready\n");
--- a/Source/Magnoliad/ConfigAgent.h
+++ b/Source/Magnoliad/ConfigAgent.h
@@ -39,9 +39,7 @@
   uint64_t version() const;
 
   /// Whether keyed requests may be served now.
-  bool isFresh() const {
-    return common::boot_clock::now() < KeyedUntil.load();
-  }
+  bool isFresh() const { return common::boot_clock::now() < KeyedUntil.load(); }
 
   platform::follower_counters counters();
 
--- a/Source/Magnoliad/Forwarder.cpp
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -214,8 +214,8 @@
 forwarder::forward(const forward_request &Request,
                    const std::function<void(std::function<void()>)> &OnCancel,
                    forward_report &Report) {
-  const auto Turn = Queues.await(Request.Service->Name, Request.Workspace,
-                                 Request.Deadline);
+  const auto Turn =
+      Queues.await(Request.Service->Name, Request.Workspace, Request.Deadline);
   if (!Turn.ok())
     return Turn.status();
   std::vector<std::string> Tried;
@@ -240,7 +240,8 @@
       Answer.Produce = [Held = *Attempt](const http::byte_sink &Sink) {
         return Held->sendBody(Sink);
       };
-      // Nothing asks for a body that is not there, yet the attempt's end counts.
+      // Nothing asks for a body that is not there, yet the attempt's end
+      // counts.
       if (!hasBody(Request, *Head))
         (*Attempt)->sendBody([](std::string_view) { return true; });
       return Answer;
--- a/Source/Magnoliad/Gateway.cpp
+++ b/Source/Magnoliad/Gateway.cpp
@@ -93,8 +93,7 @@
 }
 
 absl::Status gateway::authorize(std::string_view Secret, visit &Visit) const {
-  const contract::key *Key =
-      Visit.Snapshot->findKey(common::sha256Hex(Secret));
+  const contract::key *Key = Visit.Snapshot->findKey(common::sha256Hex(Secret));
   if (!Key)
     return makeError(error_kind::KeyUnknown, "the key is unknown or revoked");
   Visit.KeyId = Key->Id;
@@ -125,9 +124,9 @@
   const limit_settings &Limits = Settings.Limits;
   const auto Length = Exchange.bodyLength();
   if (Length.value_or(0) > Limits.BodyBytes)
-    return makeError(error_kind::BodyTooLarge,
-                     absl::StrCat("the body is above ", Limits.BodyBytes,
-                                  " bytes"));
+    return makeError(
+        error_kind::BodyTooLarge,
+        absl::StrCat("the body is above ", Limits.BodyBytes, " bytes"));
   if (!Exchange.hasBody())
     return absl::OkStatus();
   if (!Length || *Length > Limits.BufferedBodyBytes) {
--- a/Source/Magnoliad/MemberAgent.cpp
+++ b/Source/Magnoliad/MemberAgent.cpp
@@ -42,10 +42,8 @@
                            version_hook Version)
     : Settings(Settings), Services(std::move(Services)), Mail(Mail),
       Version(std::move(Version)), Members(std::move(Self), {}) {
-  Mail.subscribe(MessageType,
-                 [this](const std::string &, std::string_view Body) {
-                   receive(Body);
-                 });
+  Mail.subscribe(MessageType, [this](const std::string &,
+                                     std::string_view Body) { receive(Body); });
 }
 
 void member_agent::receive(std::string_view Body) {
@@ -138,9 +136,8 @@
   return Candidates;
 }
 
-http::whole_answer
-member_agent::answer(absl::Span<const std::string> Homes,
-                     boot_time Now) const {
+http::whole_answer member_agent::answer(absl::Span<const std::string> Homes,
+                                        boot_time Now) const {
   instance::directory_question Question;
   Question.Homes = Homes;
   Question.CallerSeed = callerSeed();
@@ -151,15 +148,15 @@
 
   nlohmann::json Instances = nlohmann::json::array();
   for (const instance::directory_entry &Entry : Answer.Instances)
-    Instances.push_back({{"address", Entry.Address},
-                         {"failure_domain", Entry.FailureDomain}});
+    Instances.push_back(
+        {{"address", Entry.Address}, {"failure_domain", Entry.FailureDomain}});
   const auto Keep =
       std::chrono::duration_cast<std::chrono::milliseconds>(Answer.KeepFor);
   http::whole_answer Http;
   Http.Headers.emplace_back("Content-Type", "application/json");
-  Http.Body = nlohmann::json{{"instances", Instances},
-                             {"keep_ms", Keep.count()}}
-                  .dump();
+  Http.Body =
+      nlohmann::json{{"instances", Instances}, {"keep_ms", Keep.count()}}
+          .dump();
   return Http;
 }
 
--- a/Source/Magnoliad/Metrics.cpp
+++ b/Source/Magnoliad/Metrics.cpp
@@ -84,11 +84,11 @@
 void metrics::writeLatency(std::string &Text, const std::string &Route,
                            const route_metrics &Metrics) {
   for (const double Quantile : Quantiles)
-    appendSample(Text, "magnolia_request_seconds",
-                 {{"route", Route}, {"quantile", absl::StrCat(Quantile)}},
-                 accumulators::quantile(
-                     Metrics.Latency,
-                     accumulators::quantile_probability = Quantile));
+    appendSample(
+        Text, "magnolia_request_seconds",
+        {{"route", Route}, {"quantile", absl::StrCat(Quantile)}},
+        accumulators::quantile(Metrics.Latency,
+                               accumulators::quantile_probability = Quantile));
   appendSample(Text, "magnolia_request_seconds_sum", {{"route", Route}},
                accumulators::sum(Metrics.Latency));
   appendSample(Text, "magnolia_request_seconds_count", {{"route", Route}},
--- a/Source/Magnoliad/NodeImpl.cpp
+++ b/Source/Magnoliad/NodeImpl.cpp
@@ -60,10 +60,10 @@
 }
 
 absl::Status node::impl::start() {
-  const auto Services = net::connectPlatform(
-      {.Address = Settings.PlatformAddress,
-       .ConnectTimeout = Settings.Follow.PlatformTimeout,
-       .AnswerTimeout = Settings.Follow.PlatformTimeout});
+  const auto Services =
+      net::connectPlatform({.Address = Settings.PlatformAddress,
+                            .ConnectTimeout = Settings.Follow.PlatformTimeout,
+                            .AnswerTimeout = Settings.Follow.PlatformTimeout});
   if (!Services.ok())
     return Services.status();
   absl::Status Status = bind();
@@ -114,8 +114,7 @@
   Self.Incarnation = Incarnation;
   Self.BootId = BootId;
   Self.FailureDomain = Identity.FailureDomain;
-  Self.CallerAddress =
-      advertised(Identity.CallerAdvertise, Callers->address());
+  Self.CallerAddress = advertised(Identity.CallerAdvertise, Callers->address());
   Self.PeerAddress = advertised(Identity.PeerAdvertise, Mail->address());
 
   auto Created =
@@ -125,9 +124,9 @@
   Rates = std::move(*Created);
   Targets = std::make_unique<target_agent>(Selector, Process, Services,
                                            Upstream, *Mail);
-  Members = std::make_unique<member_agent>(
-      Settings, std::move(Self), Services, *Mail,
-      [this] { return Config->version(); });
+  Members =
+      std::make_unique<member_agent>(Settings, std::move(Self), Services, *Mail,
+                                     [this] { return Config->version(); });
   Config = std::make_unique<config_agent>(
       Settings, Services, *Background, *Mail,
       [this](const contract::snapshot_ptr &Snapshot) { apply(Snapshot); });
@@ -135,10 +134,10 @@
 }
 
 absl::Status node::impl::serveCallers() {
-  Gateway = std::make_unique<gateway>(Settings, gatewayHooks(), Forwarder,
-                                      Metrics);
-  auto Created = admin_pages::create(Settings.Identity.AdminListen, Metrics,
-                                     adminHooks());
+  Gateway =
+      std::make_unique<gateway>(Settings, gatewayHooks(), Forwarder, Metrics);
+  auto Created =
+      admin_pages::create(Settings.Identity.AdminListen, Metrics, adminHooks());
   if (!Created.ok())
     return Created.status();
   Admin = std::move(*Created);
--- a/Source/Magnoliad/NodeRun.cpp
+++ b/Source/Magnoliad/NodeRun.cpp
@@ -60,9 +60,8 @@
     Targets->tick(Now);
     shareTargets(Now);
   });
-  every(DigestPeriod, [this](boot_time Now) {
-    Targets->publish(Members->peers(Now), Now);
-  });
+  every(DigestPeriod,
+        [this](boot_time Now) { Targets->publish(Members->peers(Now), Now); });
   every(Settings.Follow.HeartbeatPeriod,
         [this](boot_time Now) { Members->heartbeat(Now); });
   every(IdlePeriod, [this](boot_time) { Upstream.closeIdle(); });
@@ -70,8 +69,7 @@
                     [this] { Members->syncTable(boot_clock::now()); });
   everyInBackground(LeasePeriod,
                     [this] { Targets->pollLease(boot_clock::now()); });
-  everyInBackground(LeasePeriod,
-                    [this] { Targets->probe(boot_clock::now()); });
+  everyInBackground(LeasePeriod, [this] { Targets->probe(boot_clock::now()); });
   everyInBackground(SharePeriod, [this] { stepRates(); });
 }
 
--- a/Source/Magnoliad/PeerMail.cpp
+++ b/Source/Magnoliad/PeerMail.cpp
@@ -6,8 +6,7 @@
 peer_mail::create(const std::string &Address, const std::string &Name) {
   std::unique_ptr<peer_mail> Mail(new peer_mail);
   auto Transport = net::peer_transport::create(
-      Address, Name,
-      [Raw = Mail.get()](const net::peer_message &Message) {
+      Address, Name, [Raw = Mail.get()](const net::peer_message &Message) {
         Raw->deliver(Message);
       });
   if (!Transport.ok())
--- a/Source/Magnoliad/PeerMail.h
+++ b/Source/Magnoliad/PeerMail.h
@@ -54,11 +54,11 @@
   void deliver(const net::peer_message &Message);
 
   absl::Mutex Mutex;
-  absl::flat_hash_map<std::string, std::string> Addresses
-      ABSL_GUARDED_BY(Mutex);
+  absl::flat_hash_map<std::string, std::string>
+      Addresses ABSL_GUARDED_BY(Mutex);
   absl::Mutex DeliveryMutex;
-  absl::flat_hash_map<std::string, handler> Handlers
-      ABSL_GUARDED_BY(DeliveryMutex);
+  absl::flat_hash_map<std::string, handler>
+      Handlers ABSL_GUARDED_BY(DeliveryMutex);
   bool Delivering ABSL_GUARDED_BY(DeliveryMutex) = false;
   // Last: its thread delivers into what stands above.
   std::unique_ptr<net::peer_transport> Transport;
--- a/Source/Magnoliad/QueueAgent.cpp
+++ b/Source/Magnoliad/QueueAgent.cpp
@@ -21,9 +21,8 @@
   /// The decision, absent if none came by \p Deadline.
   std::optional<absl::Status> await(boot_time Deadline) {
     const absl::MutexLock Lock(&Mutex);
-    Mutex.AwaitWithTimeout(
-        absl::Condition(this, &decision_slot::isSet),
-        absl::FromChrono(Deadline - boot_clock::now()));
+    Mutex.AwaitWithTimeout(absl::Condition(this, &decision_slot::isSet),
+                           absl::FromChrono(Deadline - boot_clock::now()));
     return Decision;
   }
 
@@ -56,7 +55,7 @@
 
 queue_agent::service_ptr queue_agent::find(std::string_view Service) const {
   const absl::MutexLock Lock(&Mutex);
-  const auto Found = Services.find(Service);
+  const auto Found = Services.find(std::string(Service));
   return Found == Services.end() ? nullptr : Found->second;
 }
 
@@ -66,9 +65,9 @@
   return {Services.begin(), Services.end()};
 }
 
-absl::StatusOr<queue_turn_ptr>
-queue_agent::await(std::string_view Service, std::string_view Workspace,
-                   boot_time Deadline) {
+absl::StatusOr<queue_turn_ptr> queue_agent::await(std::string_view Service,
+                                                  std::string_view Workspace,
+                                                  boot_time Deadline) {
   const service_ptr Live = find(Service);
   if (!Live)
     return common::makeError(common::error_kind::NoTargetAvailable,
--- a/Source/Magnoliad/QueueAgent.h
+++ b/Source/Magnoliad/QueueAgent.h
@@ -79,8 +79,7 @@
   std::vector<std::pair<std::string, service_ptr>> all() const;
 
   mutable absl::Mutex Mutex;
-  absl::flat_hash_map<std::string, service_ptr> Services
-      ABSL_GUARDED_BY(Mutex);
+  absl::flat_hash_map<std::string, service_ptr> Services ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace magnolia::daemon
--- a/Source/Magnoliad/RateAgent.cpp
+++ b/Source/Magnoliad/RateAgent.cpp
@@ -60,9 +60,9 @@
   GateHooks.Send = [Raw](const std::string &Peer,
                          const quota::message &Message) {
     const std::vector<uint8_t> Bytes = quota::encode(Message);
-    Raw->Mail.send(Peer, MessageType,
-                   {reinterpret_cast<const char *>(Bytes.data()),
-                    Bytes.size()});
+    Raw->Mail.send(
+        Peer, MessageType,
+        {reinterpret_cast<const char *>(Bytes.data()), Bytes.size()});
   };
   GateHooks.Resolved = [Raw](const quota::resolution &Resolution) {
     Raw->resolve(Resolution);
@@ -171,8 +171,7 @@
 void rate_agent::advance() { Gate->advance(instantNow()); }
 
 void rate_agent::setConfiguration(const contract::snapshot_ptr &Snapshot) {
-  Gate->setConfiguration(Snapshot->content().Manifest.Workspaces,
-                         instantNow());
+  Gate->setConfiguration(Snapshot->content().Manifest.Workspaces, instantNow());
 }
 
 void rate_agent::setShares(const quota::share_view_ptr &View,
--- a/Source/Magnoliad/RateAgent.h
+++ b/Source/Magnoliad/RateAgent.h
@@ -49,8 +49,7 @@
 private:
   explicit rate_agent(peer_mail &Mail) : Mail(Mail) {}
 
-  absl::StatusOr<rate_permit> await(std::string_view Workspace,
-                                    uint64_t Ticket,
+  absl::StatusOr<rate_permit> await(std::string_view Workspace, uint64_t Ticket,
                                     common::boot_time Deadline);
   /// Gives back what was resolved too late for its waiter.
   void dropResolved(uint64_t Ticket);
@@ -66,8 +65,8 @@
   absl::Mutex Mutex;
   absl::CondVar ResolvedAny;
   /// Answers to tickets that were not fetched yet.
-  absl::flat_hash_map<uint64_t, quota::admission> Resolved
-      ABSL_GUARDED_BY(Mutex);
+  absl::flat_hash_map<uint64_t, quota::admission>
+      Resolved ABSL_GUARDED_BY(Mutex);
   quota::share_view_ptr Shares ABSL_GUARDED_BY(Mutex);
 };
 
--- a/Source/Magnoliad/TargetAgent.cpp
+++ b/Source/Magnoliad/TargetAgent.cpp
@@ -22,10 +22,8 @@
                            net::upstream_pool &Upstream, peer_mail &Mail)
     : Selector(Selector), Services(std::move(Services)), Upstream(Upstream),
       Mail(Mail), Lease(LeaseKey, std::move(Process), {}) {
-  Mail.subscribe(MessageType,
-                 [this](const std::string &, std::string_view Body) {
-                   receive(Body);
-                 });
+  Mail.subscribe(MessageType, [this](const std::string &,
+                                     std::string_view Body) { receive(Body); });
 }
 
 void target_agent::receive(std::string_view Body) {
@@ -64,8 +62,7 @@
 
 void target_agent::releaseLease() {
   const target::settings Defaults;
-  const auto LastInForce =
-      common::wallNow() + Defaults.EjectionTerm;
+  const auto LastInForce = common::wallNow() + Defaults.EjectionTerm;
   Lease.release(Services.Table, LastInForce).IgnoreError();
 }
 
--- a/Source/Net/Http/LibraryServer.cpp
+++ b/Source/Net/Http/LibraryServer.cpp
@@ -140,6 +140,8 @@
       return;
     const std::string Type = contentTypeOf(Answer.Headers);
     const auto Shared = std::make_shared<streamed_answer>(std::move(Answer));
+    // The library adds the type once more.
+    Response.headers.erase("Content-Type");
     if (Shared->Length)
       setSized(Shared, Type);
     else
--- a/Source/UnitTests/Net/Http/HttpServerTest.cpp
+++ b/Source/UnitTests/Net/Http/HttpServerTest.cpp
@@ -86,6 +86,23 @@
     CHECK_FALSE(contains(Broken, "0\r\n\r\n"));
   }
 
+  SUBCASE("passes each header of a streamed answer on once") {
+    const auto Server = serverWith([](http_exchange &Exchange) {
+      Exchange.answer(
+          streamed_answer{200,
+                          {{"Content-Type", "text/html"}, {"X-Tag", "1"}},
+                          2,
+                          [](const byte_sink &Sink) { return Sink("ok"); }});
+    });
+    raw_caller Caller(Server->address());
+    Caller.send("GET / HTTP/1.1\r\n\r\n");
+    const std::string Head = Caller.receive("\r\n\r\n");
+    CHECK(contains(Head, "X-Tag: 1"));
+    const size_t First = Head.find("Content-Type: text/html");
+    CHECK(First != std::string::npos);
+    CHECK(Head.find("Content-Type", First + 1) == std::string::npos);
+  }
+
   SUBCASE("closes where a sized answer comes short") {
     const auto Server = serverWith([](http_exchange &Exchange) {
       Exchange.answer(streamed_answer{
