--- a/Source/StandIns/FaultProxy/LinkFaults.cpp
+++ b/Source/StandIns/FaultProxy/LinkFaults.cpp
@@ -38,6 +38,8 @@
     Faults.DropReplies = Value.get<bool>();
   else if (Name == "reset")
     Command.Reset = Value.get<bool>();
+  else if (Name == "forward")
+    Command.Forward = Value.get<std::string>();
   else if (Name != "clear")
     return absl::InvalidArgumentError("no such field: " + Name);
   return absl::OkStatus();
--- a/Source/StandIns/FaultProxy/LinkFaults.h
+++ b/Source/StandIns/FaultProxy/LinkFaults.h
@@ -31,9 +31,12 @@
 struct link_command {
   link_faults Faults;
   bool Reset = false;
+  /// Where later connections go, "IPv4:port"; empty: as before.
+  std::string Forward;
 };
 
-/// Reads {"delay_up_ms": 5, "cut_down": true, "reset": true, ...} over \p
+/// Reads {"delay_up_ms": 5, "cut_down": true, "reset": true,
+/// "forward": "127.0.0.1:80", ...} over \p
 /// Command; what is not named stays. "clear": true first ends all faults.
 absl::Status applyJson(std::string_view Json, link_command &Command);
 
--- a/Source/StandIns/FaultProxy/Relay.cpp
+++ b/Source/StandIns/FaultProxy/Relay.cpp
@@ -305,6 +305,8 @@
 
 void relay::setFaults(link &Link, size_t Index, const link_command &Command) {
   Link.Settings.Faults = Command.Faults;
+  if (!Command.Forward.empty())
+    Link.Settings.Forward = Command.Forward;
   setListening(Link, Index);
   if (Command.Reset)
     forEachPair(Index, [this](pair &Pair) { close(Pair.Id, true); });
@@ -320,7 +322,8 @@
       link &Link = Links[Index];
       if (Link.Settings.Name != Name)
         continue;
-      link_command Command{Link.Settings.Faults};
+      link_command Command;
+      Command.Faults = Link.Settings.Faults;
       Status = applyJson(Json, Command);
       if (Status.ok())
         setFaults(Link, Index, Command);
