--- a/Source/Net/Upstream/AnswerStream.cpp
+++ b/Source/Net/Upstream/AnswerStream.cpp
@@ -11,8 +11,8 @@
 using common::error_kind;
 using request::attempt_outcome;
 
-answer_channel::answer_channel(size_t BufferLimit, std::function<void()> Notify)
-    : BufferLimit(BufferLimit), Notify(std::move(Notify)) {}
+answer_channel::answer_channel(size_t BufferLimit, stream_hooks Hooks)
+    : BufferLimit(BufferLimit), Hooks(std::move(Hooks)) {}
 
 bool answer_channel::attach(std::shared_ptr<connection> NewConnection) {
   const absl::MutexLock Lock(&Mutex);
@@ -38,8 +38,8 @@
     Head = std::move(NewHead);
     Changed.SignalAll();
   }
-  if (Notify)
-    Notify();
+  if (Hooks.HeadOrEnd)
+    Hooks.HeadOrEnd();
 }
 
 bool answer_channel::pushBody(std::string_view Bytes, boot_time Deadline) {
@@ -60,8 +60,10 @@
     Connection.reset();
     Changed.SignalAll();
   }
-  if (Notify)
-    Notify();
+  if (Hooks.Ended)
+    Hooks.Ended(NewOutcome);
+  if (Hooks.HeadOrEnd)
+    Hooks.HeadOrEnd();
 }
 
 absl::StatusOr<answer_head> answer_channel::awaitHead(boot_time Deadline) {
--- a/Source/Net/Upstream/AnswerStream.h
+++ b/Source/Net/Upstream/AnswerStream.h
@@ -17,13 +17,19 @@
 
 class connection;
 
+/// Calls from the receiving thread, without a lock held.
+struct stream_hooks {
+  /// The head has come or the attempt has ended.
+  std::function<void()> HeadOrEnd;
+  /// The attempt has ended; called once, before the last HeadOrEnd.
+  std::function<void(const request::attempt_outcome &)> Ended;
+};
+
 /// Carries one answer from the thread that receives it to the one that passes
 /// it on. Holds a bounded number of body bytes.
 class answer_channel {
 public:
-  /// \p Notify is called without a lock when the head has come and when the
-  /// attempt has ended.
-  answer_channel(size_t BufferLimit, std::function<void()> Notify);
+  answer_channel(size_t BufferLimit, stream_hooks Hooks);
 
   // The receiving thread.
 
@@ -56,7 +62,7 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
 
   const size_t BufferLimit;
-  const std::function<void()> Notify;
+  const stream_hooks Hooks;
   mutable absl::Mutex Mutex;
   absl::CondVar Changed;
   std::optional<answer_head> Head ABSL_GUARDED_BY(Mutex);
--- a/Source/Net/Upstream/UpstreamPool.cpp
+++ b/Source/Net/Upstream/UpstreamPool.cpp
@@ -41,10 +41,9 @@
 upstream_pool::~upstream_pool() = default;
 
 answer_stream upstream_pool::start(upstream_request Request,
-                                   std::string Address,
-                                   std::function<void()> Notify) {
+                                   std::string Address, stream_hooks Hooks) {
   auto Channel = std::make_shared<answer_channel>(
-      State->Settings.AnswerBufferLimit, std::move(Notify));
+      State->Settings.AnswerBufferLimit, std::move(Hooks));
   const bool Started =
       State->Workers.tryRun([State = State.get(), Request = std::move(Request),
                              Address = std::move(Address), Channel] {
--- a/Source/Net/Upstream/UpstreamPool.h
+++ b/Source/Net/Upstream/UpstreamPool.h
@@ -36,10 +36,9 @@
   upstream_pool &operator=(const upstream_pool &) = delete;
 
   /// Starts one attempt of \p Request at the target "IPv4:port". Never blocks;
-  /// failures come out of the stream. \p Notify is called by another thread
-  /// when the head has come and when the attempt has ended.
+  /// failures come out of the stream.
   answer_stream start(upstream_request Request, std::string Address,
-                      std::function<void()> Notify = nullptr);
+                      stream_hooks Hooks = {});
 
   /// Closes idle connections that are too old; call about every second.
   void closeIdle();
--- a/Source/StandIns/FaultProxy/LinkFaults.cpp
+++ b/Source/StandIns/FaultProxy/LinkFaults.cpp
@@ -51,7 +51,7 @@
     if (Root.value("clear", false))
       Command.Faults = {};
     for (const auto &[Name, Value] : Root.items()) {
-      const absl::Status Status = applyField(Name, Value, Command);
+      absl::Status Status = applyField(Name, Value, Command);
       if (!Status.ok())
         return Status;
     }
