End the busy loop of a connected peer; follow the attempt plan in magnoliad

Cause: the peer loop watched a connecting socket for EPOLLOUT and never ended that watch, so that epoll reported it for ever: 93 to 100% of a core in each of three idle instances (top, 3 s). Ruled out: timers and the HTTP server's loop (strace: only the peer loop's descriptor returned events).

PeerTests 'A transport with a connection on which nothing happens sleeps' saw 554202 rounds of the loop for ten pings before and passes now (below 200).

--- /dev/null
+++ b/Source/Magnoliad/ForwardSession.cpp
@@ -0,0 +1,146 @@
+#include "Magnoliad/ForwardSession.h"
+
+#include <absl/strings/str_cat.h>
+
+#include "Common/ErrorKind.h"
+
+namespace magnolia::daemon {
+namespace {
+
+using common::boot_clock;
+using common::boot_time;
+using common::error_kind;
+
+constexpr int FirstServerError = 500;
+
+target::outcome outcomeOf(const request::attempt_outcome &Outcome) {
+  if (Outcome.ok())
+    return Outcome.HttpStatus >= FirstServerError ? target::outcome::Error
+                                                  : target::outcome::Success;
+  switch (*Outcome.Error) {
+  case error_kind::TargetUnreachable:
+    return target::outcome::Unreachable;
+  case error_kind::TargetRefused:
+    return target::outcome::RefusedNotRun;
+  case error_kind::AnswerTruncated:
+    return target::outcome::HalfAnswer;
+  case error_kind::AnswerMismatched:
+    return target::outcome::Mismatched;
+  case error_kind::DeadlineExceeded:
+    return target::outcome::Stall;
+  default:
+    return target::outcome::Error;
+  }
+}
+
+target::observation observe(const request::attempt_outcome &Outcome) {
+  target::observation Observation;
+  Observation.Outcome = outcomeOf(Outcome);
+  const request::attempt_times &Times = Outcome.Times;
+  const boot_time Written = Times.RequestWritten.value_or(Times.Started);
+  Observation.Latency = Times.AnswerHead.value_or(Times.Finished) - Written;
+  if (Times.Connected && !Outcome.ConnectionReused)
+    Observation.ConnectLatency = *Times.Connected - Times.Started;
+  if (Outcome.TargetDraining)
+    Observation.Drain = target::drain_report{.Draining = true};
+  return Observation;
+}
+
+admission::target_outcome
+limitOutcome(const request::attempt_outcome &Outcome) {
+  if (Outcome.ok())
+    return admission::target_outcome::Succeeded;
+  return Outcome.Error == error_kind::TargetRefused
+             ? admission::target_outcome::Refused
+             : admission::target_outcome::Failed;
+}
+
+/// Whether the caller or a faster attempt ended it, which is no evidence.
+bool wasGivenUp(const request::attempt_outcome &Outcome) {
+  return Outcome.Error == error_kind::CallerGone;
+}
+
+} // namespace
+
+forward_session::forward_session(std::string Service,
+                                 target::target_selector &Selector,
+                                 queue_turn_ptr Turn, latency_hook OnLatency)
+    : Service(std::move(Service)), Selector(Selector), Turn(std::move(Turn)),
+      OnLatency(std::move(OnLatency)) {}
+
+forward_session::~forward_session() {
+  for (const auto &[Target, Choice] : Running)
+    giveUp(Choice);
+}
+
+size_t forward_session::attempts() {
+  const absl::MutexLock Lock(&Mutex);
+  return Attempts;
+}
+
+void forward_session::giveUp(const target::choice &Choice) {
+  const boot_time Now = boot_clock::now();
+  Selector.cancel(Choice, Now);
+  Turn->limits().finish(Choice.Target, admission::target_outcome::Failed, {},
+                        Now);
+}
+
+std::optional<target::choice>
+forward_session::chooseWithRoom(absl::Span<const std::string> Tried) {
+  std::vector<std::string> Excluded(Tried.begin(), Tried.end());
+  while (true) {
+    auto Choice = Selector.choose(Service, Excluded, boot_clock::now());
+    if (!Choice || Turn->limits().tryStart(Choice->Target))
+      return Choice;
+    Selector.cancel(*Choice, boot_clock::now());
+    Excluded.push_back(Choice->Target);
+  }
+}
+
+absl::StatusOr<net::target_choice>
+forward_session::choose(absl::Span<const std::string> Tried,
+                        const std::function<absl::Status()> &Spend) {
+  auto Choice = chooseWithRoom(Tried);
+  if (!Choice)
+    return common::makeError(
+        error_kind::NoTargetAvailable,
+        absl::StrCat("no target of ", Service, " is available"));
+  absl::Status Spent = Spend();
+  if (!Spent.ok()) {
+    giveUp(*Choice);
+    return Spent;
+  }
+  net::target_choice Result{Choice->Target, Choice->Address};
+  const absl::MutexLock Lock(&Mutex);
+  ++Attempts;
+  Running.emplace(Result.Name, std::move(*Choice));
+  return Result;
+}
+
+void forward_session::ended(const std::string &Target,
+                            const request::attempt_outcome &Outcome) {
+  std::optional<target::choice> Choice;
+  {
+    const absl::MutexLock Lock(&Mutex);
+    const auto Found = Running.find(Target);
+    if (Found == Running.end())
+      return;
+    Choice = std::move(Found->second);
+    Running.erase(Found);
+  }
+  if (wasGivenUp(Outcome)) {
+    giveUp(*Choice);
+    return;
+  }
+  const boot_time Now = boot_clock::now();
+  const target::observation Observation = observe(Outcome);
+  Selector.finish(*Choice, Observation, Now);
+  Turn->limits().finish(Target, limitOutcome(Outcome), Observation.Latency,
+                        Now);
+  if (Outcome.ok())
+    OnLatency(Observation.Latency);
+  else
+    Turn->markFailed();
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/Source/Magnoliad/ForwardSession.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/types/span.h>
+
+#include "Magnoliad/QueueAgent.h"
+#include "Net/Upstream/Forwarder.h"
+#include "Request/Outcome.h"
+#include "Target/Selector.h"
+
+namespace magnolia::daemon {
+
+/// The attempts of one request at the targets: what each holds there, and what
+/// is learned from its end. Lives until the last attempt has ended, and keeps
+/// the request's turn so long. Thread-safe.
+class forward_session {
+public:
+  /// Hears the latency of each successful attempt.
+  using latency_hook = std::function<void(std::chrono::microseconds)>;
+
+  forward_session(std::string Service, target::target_selector &Selector,
+                  queue_turn_ptr Turn, latency_hook OnLatency);
+  ~forward_session();
+  forward_session(const forward_session &) = delete;
+  forward_session &operator=(const forward_session &) = delete;
+
+  /// A target that is not among \p Tried and has room; \p Spend pays for the
+  /// attempt.
+  absl::StatusOr<net::target_choice>
+  choose(absl::Span<const std::string> Tried,
+         const std::function<absl::Status()> &Spend);
+
+  /// The attempt at \p Target has ended.
+  void ended(const std::string &Target,
+             const request::attempt_outcome &Outcome);
+
+  size_t attempts();
+
+private:
+  std::optional<target::choice>
+  chooseWithRoom(absl::Span<const std::string> Tried);
+  void giveUp(const target::choice &Choice);
+
+  const std::string Service;
+  target::target_selector &Selector;
+  const queue_turn_ptr Turn;
+  const latency_hook OnLatency;
+  absl::Mutex Mutex;
+  size_t Attempts ABSL_GUARDED_BY(Mutex) = 0;
+  /// By the target's name; a request goes to a target at most once.
+  absl::flat_hash_map<std::string, target::choice>
+      Running ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace magnolia::daemon
--- a/Source/Magnoliad/Forwarder.cpp
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -1,66 +1,22 @@
 #include "Magnoliad/Forwarder.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/synchronization/notification.h>
 
 #include "Common/ErrorKind.h"
 #include "Magnoliad/Credentials.h"
+#include "Magnoliad/ForwardSession.h"
 
 namespace magnolia::daemon {
 namespace {
 
 using common::boot_clock;
 using common::boot_time;
-using common::error_kind;
-using common::execution;
 
-/// Attempts at one request, the first included.
-constexpr int MaxAttempts = 3;
-
-/// How long the end of an attempt that gave no head is awaited.
-constexpr std::chrono::seconds OutcomeWait{1};
-
-target::outcome outcomeOf(const request::attempt_outcome &Outcome) {
-  constexpr int ServerErrors = 500;
-  if (Outcome.ok())
-    return Outcome.HttpStatus >= ServerErrors ? target::outcome::Error
-                                              : target::outcome::Success;
-  switch (*Outcome.Error) {
-  case error_kind::TargetUnreachable:
-    return target::outcome::Unreachable;
-  case error_kind::TargetRefused:
-    return target::outcome::RefusedNotRun;
-  case error_kind::AnswerTruncated:
-    return target::outcome::HalfAnswer;
-  case error_kind::AnswerMismatched:
-    return target::outcome::Mismatched;
-  case error_kind::DeadlineExceeded:
-    return target::outcome::Stall;
-  default:
-    return target::outcome::Error;
-  }
-}
-
-target::observation observe(const request::attempt_outcome &Outcome) {
-  target::observation Observation;
-  Observation.Outcome = outcomeOf(Outcome);
-  const request::attempt_times &Times = Outcome.Times;
-  const boot_time Written = Times.RequestWritten.value_or(Times.Started);
-  Observation.Latency = Times.AnswerHead.value_or(Times.Finished) - Written;
-  if (Times.Connected && !Outcome.ConnectionReused)
-    Observation.ConnectLatency = *Times.Connected - Times.Started;
-  if (Outcome.TargetDraining)
-    Observation.Drain = target::drain_report{.Draining = true};
-  return Observation;
-}
-
-admission::target_outcome
-limitOutcome(const request::attempt_outcome &Outcome) {
-  if (Outcome.ok())
-    return admission::target_outcome::Succeeded;
-  return Outcome.Error == error_kind::TargetRefused
-             ? admission::target_outcome::Refused
-             : admission::target_outcome::Failed;
-}
+/// A hedge starts when this part of the recent answers was faster.
+constexpr double HedgeQuantile = 0.95;
+constexpr size_t LatencyWindow = 200;
+constexpr size_t MaxStreamedBodies = 256;
 
 bool hasBody(const forward_request &Request, const net::answer_head &Head) {
   constexpr int NoContent = 204;
@@ -69,81 +25,7 @@
          Head.Status != NotModified && Head.BodyLength != uint64_t{0};
 }
 
-bool mayRetry(const forward_request &Request, const absl::Status &Status) {
-  if (Request.Pipe)
-    return false;
-  const error_kind Kind = common::kindOf(Status);
-  if (Kind == error_kind::CallerGone || Kind == error_kind::AnswerTooLarge)
-    return false;
-  const bool NotRun = common::answerFor(Kind).Execution == execution::NotRun;
-  return NotRun || Request.Route->Repeatable;
-}
-
-} // namespace
-
-/// One attempt and what it holds at its target. The selector hears of its end
-/// exactly once.
-class forwarder::attempt {
-public:
-  attempt(net::answer_stream Stream, target::choice Choice,
-          target::target_selector &Selector, queue_turn_ptr Turn,
-          boot_time Deadline)
-      : Stream(std::move(Stream)), Choice(std::move(Choice)),
-        Selector(Selector), Turn(std::move(Turn)), Deadline(Deadline) {}
-
-  ~attempt() {
-    const boot_time Now = boot_clock::now();
-    const auto Outcome = Stream.awaitOutcome(Now);
-    if (!Outcome) {
-      Selector.cancel(Choice, Now);
-      Turn->limits().finish(Choice.Target, admission::target_outcome::Failed,
-                            {}, Now);
-      return;
-    }
-    const target::observation Observation = observe(*Outcome);
-    Selector.finish(Choice, Observation, Now);
-    Turn->limits().finish(Choice.Target, limitOutcome(*Outcome),
-                          Observation.Latency, Now);
-    if (!Outcome->ok())
-      Turn->markFailed();
-  }
-
-  attempt(const attempt &) = delete;
-  attempt &operator=(const attempt &) = delete;
-
-  absl::StatusOr<net::answer_head> awaitHead() {
-    auto Head = Stream.awaitHead(Deadline);
-    // The outcome tells the selector why there is no head.
-    if (!Head.ok())
-      Stream.awaitOutcome(boot_clock::now() + OutcomeWait);
-    return Head;
-  }
-
-  bool sendBody(const http::byte_sink &Sink) {
-    while (true) {
-      const auto Chunk = Stream.readChunk(Deadline);
-      if (!Chunk.ok())
-        return false;
-      if (Chunk->empty())
-        return true;
-      if (!Sink(*Chunk))
-        return false;
-    }
-  }
-
-  void cancel() { Stream.cancel(); }
-  const target::choice &choice() const { return Choice; }
-
-private:
-  net::answer_stream Stream;
-  const target::choice Choice;
-  target::target_selector &Selector;
-  const queue_turn_ptr Turn;
-  const boot_time Deadline;
-};
-
-net::upstream_request
-forwarder::buildRequest(const forward_request &Request) const {
+net::upstream_request toUpstream(const forward_request &Request) {
   net::upstream_request Upstream;
   Upstream.Method = Request.Head->Method;
   Upstream.Path = Request.Head->Target;
@@ -162,95 +44,132 @@
     Upstream.BodyLength = Request.PipeLength;
   }
   Upstream.Deadline = Request.Deadline;
-  Upstream.Connection = Request.Route->Repeatable
-                            ? net::connection_choice::ReuseAllowed
-                            : net::connection_choice::FreshOnly;
   return Upstream;
 }
 
-std::optional<target::choice>
-forwarder::choose(const forward_request &Request, queue_turn &Turn,
-                  const std::vector<std::string> &Tried) {
-  std::vector<std::string> Excluded = Tried;
+bool sendBody(net::answer_stream &Stream, boot_time Deadline,
+              const http::byte_sink &Sink) {
   while (true) {
-    auto Choice =
-        Selector.choose(Request.Service->Name, Excluded, boot_clock::now());
-    if (!Choice || Turn.limits().tryStart(Choice->Target))
-      return Choice;
-    Selector.cancel(*Choice, boot_clock::now());
-    Excluded.push_back(Choice->Target);
+    const auto Chunk = Stream.readChunk(Deadline);
+    if (!Chunk.ok())
+      return false;
+    if (Chunk->empty())
+      return true;
+    if (!Sink(*Chunk))
+      return false;
   }
 }
 
-absl::StatusOr<forwarder::attempt_ptr>
-forwarder::begin(const forward_request &Request, const queue_turn_ptr &Turn,
-                 std::vector<std::string> &Tried) {
-  auto Choice = choose(Request, *Turn, Tried);
-  if (!Choice)
-    return common::makeError(
-        error_kind::NoTargetAvailable,
-        absl::StrCat("no target of ", Request.Service->Name, " is available"));
-  Tried.push_back(Choice->Target);
-  if (Request.Spend && !Request.Spend()) {
-    Selector.cancel(*Choice, boot_clock::now());
-    Turn->limits().finish(Choice->Target, admission::target_outcome::Failed, {},
-                          boot_clock::now());
-    return common::makeError(error_kind::RateUnavailable,
-                             "the right to send the request has ended");
-  }
-  std::string Address = Choice->Address;
-  std::function<void()> Notify;
-  if (Request.Pipe)
-    Notify = [Pipe = Request.Pipe] { Pipe->close(); };
-  const auto Attempt = std::make_shared<attempt>(
-      Upstream.start(buildRequest(Request), std::move(Address), Notify),
-      std::move(*Choice), Selector, Turn, Request.Deadline);
-  if (Request.PumpBody)
-    Request.PumpBody();
-  return Attempt;
+} // namespace
+
+forwarder::forwarder(net::upstream_pool &Upstream,
+                     target::target_selector &Selector, queue_agent &Queues)
+    : Upstream(Upstream), Selector(Selector), Queues(Queues), Budgets({}),
+      Runners(MaxStreamedBodies) {}
+
+std::optional<std::chrono::microseconds>
+forwarder::hedgeDelay(const std::string &Service) {
+  return Latencies.withShardOf(
+      Service, [&](auto &Map) -> std::optional<std::chrono::microseconds> {
+        const auto Found = Map.find(Service);
+        if (Found == Map.end())
+          return std::nullopt;
+        return Found->second->estimate();
+      });
+}
+
+void forwarder::noteLatency(const std::string &Service,
+                            std::chrono::microseconds Latency) {
+  Latencies.withShardOf(Service, [&](auto &Map) {
+    latencies &Slot = Map[Service];
+    if (!Slot)
+      Slot = std::make_unique<request::latency_quantile>(HedgeQuantile,
+                                                         LatencyWindow);
+    Slot->add(Latency);
+  });
+}
+
+request::attempt_plan forwarder::makePlan(const forward_request &Request) {
+  const std::string &Service = Request.Service->Name;
+  request::request_traits Traits;
+  // A streamed body is gone once it was sent.
+  Traits.Repeatable = Request.Route->Repeatable && !Request.Pipe;
+  Traits.Deadline = Request.Deadline;
+  request::attempt_hooks Hooks;
+  Hooks.TrySpendRetry = [this, Service] { return Budgets.trySpend(Service); };
+  Hooks.HedgeDelay = [this, Service] { return hedgeDelay(Service); };
+  return {{}, Traits, std::move(Hooks)};
+}
+
+net::forward_result forwarder::run(net::forwarder &Forwarder,
+                                   const forward_request &Request) {
+  if (!Request.Pipe)
+    return Forwarder.run();
+  std::optional<net::forward_result> Result;
+  absl::Notification Done;
+  Runners.run([&] {
+    Result.emplace(Forwarder.run());
+    Request.Pipe->close();
+    Done.Notify();
+  });
+  Request.PumpBody();
+  Done.WaitForNotification();
+  return *std::move(Result);
 }
 
 absl::StatusOr<forward_answer>
-forwarder::forward(const forward_request &Request,
-                   const std::function<void(std::function<void()>)> &OnCancel,
+forwarder::forward(const forward_request &Request, const cancel_hook &OnCancel,
                    forward_report &Report) {
-  const auto Turn =
-      Queues.await(Request.Service->Name, Request.Workspace, Request.Deadline);
+  const std::string &Service = Request.Service->Name;
+  const auto Turn = Queues.await(Service, Request.Workspace, Request.Deadline);
   if (!Turn.ok())
     return Turn.status();
-  std::vector<std::string> Tried;
-  absl::Status Last;
-  while (Report.Attempts < MaxAttempts) {
-    auto Attempt = begin(Request, *Turn, Tried);
-    if (!Attempt.ok())
-      return Last.ok() ? Attempt.status() : Last;
-    ++Report.Attempts;
-    Report.Target = (*Attempt)->choice().Target;
-    OnCancel([Weak = std::weak_ptr<attempt>(*Attempt)] {
-      if (const attempt_ptr Live = Weak.lock())
-        Live->cancel();
-    });
-    auto Head = (*Attempt)->awaitHead();
-    if (Head.ok()) {
-      forward_answer Answer;
-      Answer.Status = Head->Status;
-      for (auto &[Name, Value] : Head->Headers)
-        Answer.Headers.emplace_back(Name, Value);
-      Answer.BodyLength = Head->BodyLength;
-      Answer.Produce = [Held = *Attempt](const http::byte_sink &Sink) {
-        return Held->sendBody(Sink);
-      };
-      // Nothing asks for a body that is not there, yet the attempt's end
-      // counts.
-      if (!hasBody(Request, *Head))
-        (*Attempt)->sendBody([](std::string_view) { return true; });
-      return Answer;
-    }
-    Last = Head.status();
-    if (!mayRetry(Request, Last))
-      break;
-  }
-  return Last;
+  const auto Session = std::make_shared<forward_session>(
+      Service, Selector, *Turn,
+      [this, Service](std::chrono::microseconds Latency) {
+        noteLatency(Service, Latency);
+      });
+  Budgets.earn(Service);
+
+  net::forward_hooks Hooks;
+  Hooks.Choose = [&](absl::Span<const std::string> Tried) {
+    return Session->choose(Tried, Request.Spend);
+  };
+  Hooks.Ended = [Session](const std::string &Target,
+                          const request::attempt_outcome &Outcome) {
+    Session->ended(Target, Outcome);
+  };
+  const auto Forwarder = std::make_shared<net::forwarder>(
+      Upstream, toUpstream(Request), makePlan(Request), std::move(Hooks));
+  OnCancel([Weak = std::weak_ptr<net::forwarder>(Forwarder)] {
+    if (const auto Live = Weak.lock())
+      Live->callerGone();
+  });
+
+  net::forward_result Result = run(*Forwarder, Request);
+  Report.Target = Result.Target;
+  Report.Attempts = Session->attempts();
+  if (!Result.Answer)
+    return common::makeError(
+        Result.Verdict.Error.value_or(common::error_kind::Internal),
+        Result.Detail);
+
+  forward_answer Answer;
+  Answer.Status = Result.Head.Status;
+  for (auto &[Name, Value] : Result.Head.Headers)
+    Answer.Headers.emplace_back(Name, Value);
+  Answer.BodyLength = Result.Head.BodyLength;
+  const auto Stream =
+      std::make_shared<net::answer_stream>(*std::move(Result.Answer));
+  OnCancel([Stream] { Stream->cancel(); });
+  const boot_time Deadline = Request.Deadline;
+  // Nothing asks for a body that is not there, yet the attempt's end counts.
+  if (!hasBody(Request, Result.Head))
+    sendBody(*Stream, Deadline, [](std::string_view) { return true; });
+  Answer.Produce = [Stream, Deadline](const http::byte_sink &Sink) {
+    return sendBody(*Stream, Deadline, Sink);
+  };
+  return Answer;
 }
 
 } // namespace magnolia::daemon
--- a/Source/Magnoliad/Forwarder.h
+++ b/Source/Magnoliad/Forwarder.h
@@ -8,12 +8,17 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include "Common/ShardedMap.h"
 #include "Common/Time.h"
 #include "Contract/Manifest.h"
 #include "Magnoliad/BodyPipe.h"
 #include "Magnoliad/QueueAgent.h"
 #include "Net/Http/HttpServer.h"
+#include "Net/Http/WorkerPool.h"
+#include "Net/Upstream/Forwarder.h"
 #include "Net/Upstream/UpstreamPool.h"
+#include "Request/LatencyQuantile.h"
+#include "Request/RetryBudget.h"
 #include "Target/Selector.h"
 
 namespace magnolia::daemon {
@@ -31,16 +36,16 @@
   std::shared_ptr<body_pipe> Pipe;
   std::optional<uint64_t> PipeLength;
   common::boot_time Deadline;
-  /// Reads the caller's body into Pipe; called once the attempt has begun.
+  /// Reads the caller's body into Pipe.
   std::function<void()> PumpBody;
-  /// Called right before each attempt is written; false refuses the request.
-  std::function<bool()> Spend;
+  /// Called right before each attempt is written; an error refuses it.
+  std::function<absl::Status()> Spend;
 };
 
 /// What became of a request, for the log.
 struct forward_report {
   std::string Target;
-  int Attempts = 0;
+  size_t Attempts = 0;
 };
 
 /// The whole head of an answer, whose body follows.
@@ -52,35 +57,40 @@
   std::function<bool(const http::byte_sink &Sink)> Produce;
 };
 
-/// Sends requests to targets: choice, attempts and retries.
+/// Sends requests to targets: waits for a turn, chooses targets, follows the
+/// attempt plan. Thread-safe.
 class forwarder {
 public:
   forwarder(net::upstream_pool &Upstream, target::target_selector &Selector,
-            queue_agent &Queues)
-      : Upstream(Upstream), Selector(Selector), Queues(Queues) {}
+            queue_agent &Queues);
 
-  /// The answer's head, or why there is none. \p OnCancel is given a function
-  /// that ends the attempt in flight and may be called by any thread.
-  absl::StatusOr<forward_answer>
-  forward(const forward_request &Request,
-          const std::function<void(std::function<void()>)> &OnCancel,
-          forward_report &Report);
+  /// Takes a function that ends the request early, callable by any thread.
+  using cancel_hook = std::function<void(std::function<void()> Cancel)>;
+
+  /// The answer's head, or why there is none.
+  absl::StatusOr<forward_answer> forward(const forward_request &Request,
+                                         const cancel_hook &OnCancel,
+                                         forward_report &Report);
 
 private:
-  class attempt;
-  using attempt_ptr = std::shared_ptr<attempt>;
+  /// Recent latencies of one service, for hedges.
+  using latencies = std::unique_ptr<request::latency_quantile>;
 
-  absl::StatusOr<attempt_ptr> begin(const forward_request &Request,
-                                    const queue_turn_ptr &Turn,
-                                    std::vector<std::string> &Tried);
-  std::optional<target::choice> choose(const forward_request &Request,
-                                       queue_turn &Turn,
-                                       const std::vector<std::string> &Tried);
-  net::upstream_request buildRequest(const forward_request &Request) const;
+  request::attempt_plan makePlan(const forward_request &Request);
+  net::forward_result run(net::forwarder &Forwarder,
+                          const forward_request &Request);
+  std::optional<std::chrono::microseconds>
+  hedgeDelay(const std::string &Service);
+  void noteLatency(const std::string &Service,
+                   std::chrono::microseconds Latency);
 
   net::upstream_pool &Upstream;
   target::target_selector &Selector;
   queue_agent &Queues;
+  request::retry_budgets Budgets;
+  common::sharded_map<std::string, latencies> Latencies;
+  /// Runs requests whose body streams, while their own thread reads it.
+  http::worker_pool Runners;
 };
 
 } // namespace magnolia::daemon
--- a/Source/Magnoliad/Gateway.cpp
+++ b/Source/Magnoliad/Gateway.cpp
@@ -177,15 +177,21 @@
   return absl::OkStatus();
 }
 
-bool gateway::spend(visit &Visit) const {
+absl::Status gateway::spend(visit &Visit) const {
   if (Visit.Request.Workspace.empty())
-    return true;
+    return absl::OkStatus();
   // Targets count every attempt, so a retry needs a right of its own.
-  if (!Visit.Permit && !admit(Visit).ok())
-    return false;
+  if (!Visit.Permit) {
+    absl::Status Admitted = admit(Visit);
+    if (!Admitted.ok())
+      return Admitted;
+  }
   const rate_permit Permit = std::move(*Visit.Permit);
   Visit.Permit.reset();
-  return Permit.Spend();
+  if (Permit.Spend())
+    return absl::OkStatus();
+  return makeError(error_kind::RateUnavailable,
+                   "the right to send the request has ended");
 }
 
 absl::Status gateway::forward(http::http_exchange &Exchange,
--- a/Source/Magnoliad/Gateway.h
+++ b/Source/Magnoliad/Gateway.h
@@ -67,7 +67,7 @@
   absl::Status readBody(http::http_exchange &Exchange, visit &Visit) const;
   absl::Status admit(visit &Visit) const;
   absl::Status forward(http::http_exchange &Exchange, const visit_ptr &Visit);
-  bool spend(visit &Visit) const;
+  absl::Status spend(visit &Visit) const;
   void pumpBody(http::http_exchange &Exchange, body_pipe &Pipe) const;
   void record(const visit &Visit);
 
--- a/Source/Net/Peer/PeerLoop.cpp
+++ b/Source/Net/Peer/PeerLoop.cpp
@@ -87,6 +87,7 @@
   Counters.Received += Received;
   Counters.Rejected += Rejected;
   Counters.BytesSent += BytesSent;
+  Counters.Wakeups += Wakeups;
   Counters.BytesReceived += BytesReceived;
 }
 
@@ -102,6 +103,7 @@
             Due - common::boot_clock::now(), milliseconds(0), LongestWait));
     const int Count = epoll_wait(Epoll.get(), Events.data(), EventsPerWait,
                                  static_cast<int>(Wait.count()));
+    ++Wakeups;
     Now = common::boot_clock::now();
     const auto Ready = static_cast<size_t>(std::max(Count, 0));
     for (const epoll_event &Event : std::span(Events).first(Ready))
@@ -238,6 +240,8 @@
   if (takeSocketError(Connection.Socket) != 0)
     return closeConnection(Connection.Id);
   Connection.Connecting = false;
+  // Ends the watch for the end of the connect, which would report for ever.
+  watch(Connection, EPOLL_CTL_MOD);
   Connection.LastHeard = Now;
   Table.setConnected(Connection.Peer, true);
   pump(Connection);
--- a/Source/Net/Peer/PeerLoop.h
+++ b/Source/Net/Peer/PeerLoop.h
@@ -107,6 +107,7 @@
   std::atomic<uint64_t> Received = 0;
   std::atomic<uint64_t> Rejected = 0;
   std::atomic<uint64_t> BytesSent = 0;
+  std::atomic<uint64_t> Wakeups = 0;
   std::atomic<uint64_t> BytesReceived = 0;
   std::thread Thread;
 };
--- a/Source/Net/Peer/PeerTransport.h
+++ b/Source/Net/Peer/PeerTransport.h
@@ -69,6 +69,8 @@
   uint64_t BytesReceived = 0;
   /// Outgoing connections that were lost or could not be made.
   uint64_t Reconnects = 0;
+  /// Rounds of the event loop; many while nothing happens show a busy loop.
+  uint64_t Wakeups = 0;
 };
 
 /// What is known of one peer that messages were sent to.
--- a/Source/UnitTests/Net/Peer/PeerTransportTest.cpp
+++ b/Source/UnitTests/Net/Peer/PeerTransportTest.cpp
@@ -152,6 +152,25 @@
   }
 }
 
+TEST_CASE("A transport with a connection on which nothing happens sleeps") {
+  inbox Inbox;
+  const auto Sender = start("a", Inbox, quickOptions());
+  const auto Receiver = start("b", Inbox, quickOptions());
+  Sender->send(Receiver->localAddress(), "test", "hello");
+  REQUIRE(eventually([&] { return Inbox.size() == 1; }));
+  REQUIRE(Sender->flush(Limit));
+
+  // Some pings pass, each of which takes a few rounds of the loop.
+  constexpr uint64_t PingBytes = 17;
+  constexpr uint64_t Pings = 10;
+  constexpr uint64_t RoundsPerPing = 20;
+  const peer_counters Before = Sender->counters();
+  REQUIRE(eventually([&] {
+    return Sender->counters().BytesSent >= Before.BytesSent + Pings * PingBytes;
+  }));
+  CHECK(Sender->counters().Wakeups - Before.Wakeups < Pings * RoundsPerPing);
+}
+
 TEST_CASE("A transport is sent malformed addresses and names") {
   inbox Inbox;
   CHECK_FALSE(peer_transport::create("nowhere", "a", Inbox.hook()).ok());
