Claim idempotency keys in the platform's table

Cause: a repeat of a paid request may reach any instance, also after the one that sent it was killed, and must not run again.

Tickets that name the instance holding the record were ruled out: they need one more round trip before the first call, callers bring their own keys, and a killed holder leaves the same unknown without being able to say completed. Claims cost one commit for a group and are refused as not run while the table is away. A lost reply is resolved by the row's claim id; a claim that may still take effect after its refusal is looked for and released.

Two kinds join the closed list: idempotency_unknown (409) and idempotency_mismatch (422), since a repeat after a crash is neither in progress nor completed.

--- a/Source/Core/Common/ErrorKind.cpp
+++ b/Source/Core/Common/ErrorKind.cpp
@@ -48,6 +48,8 @@
     {"idempotency_unavailable", 503, NotRun, Later},
     {"idempotency_in_progress", 409, Unknown, Later},
     {"idempotency_completed", 409, execution::Ran, std::nullopt},
+    {"idempotency_unknown", 409, Unknown, std::nullopt},
+    {"idempotency_mismatch", 422, NotRun, std::nullopt},
     {"internal", 500, Unknown, Later},
 }};
 
--- a/Source/Core/Common/ErrorKind.h
+++ b/Source/Core/Common/ErrorKind.h
@@ -42,6 +42,8 @@
   IdempotencyUnavailable,
   IdempotencyInProgress,
   IdempotencyCompleted,
+  IdempotencyUnknown,
+  IdempotencyMismatch,
   Internal,
   Count
 };
--- /dev/null
+++ b/Source/Core/Request/ClaimLedger.cpp
@@ -0,0 +1,265 @@
+#include "Request/ClaimLedger.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/time/time.h>
+
+#include "Common/Digest.h"
+
+namespace magnolia::request {
+
+using common::error_kind;
+using common::execution;
+using common::wall_time;
+
+namespace {
+
+constexpr size_t ClaimIdBytes = 16;
+
+/// Commits of one group until the rest is refused.
+constexpr int CommitRounds = 4;
+
+/// Endings written by one flush, so that new claims do not wait long.
+constexpr size_t EndingsPerFlush = 64;
+
+} // namespace
+
+claim_ledger::claim_ledger(const claim_settings &Settings,
+                           platform::table_service Table)
+    : Settings(Settings), Table(std::move(Table)) {}
+
+void claim_ledger::submit(const idempotency_scope &Scope,
+                          std::string Fingerprint, wall_time Until,
+                          callback Done) {
+  pending Pending;
+  Pending.Claim.RowKey = claimRowKey(Scope);
+  claim_record &Record = Pending.Claim.Record;
+  Record.ClaimId = common::randomHex(ClaimIdBytes);
+  Record.Instance = Settings.Instance;
+  Record.Fingerprint = std::move(Fingerprint);
+  Record.Until = Until;
+  Record.Expires = Until + Settings.KeepTime;
+  Pending.Done = std::move(Done);
+  {
+    const absl::MutexLock Lock(&Mutex);
+    if (Claims.size() < Settings.QueueLimit) {
+      Claims.push_back(std::move(Pending));
+      Changed.SignalAll();
+      return;
+    }
+  }
+  refuse(Pending, error_kind::IdempotencyUnavailable, Until);
+}
+
+void claim_ledger::finish(const claim &Claim, execution Execution,
+                          int HttpStatus) {
+  ending Ending{Claim, Claim.Record,
+                Claim.Record.Until + Settings.AbandonedWatch};
+  if (Execution == execution::NotRun) {
+    Ending.Record.reset();
+  } else {
+    const bool Ran = Execution == execution::Ran;
+    Ending.Record->State = Ran ? claim_state::Completed : claim_state::Unknown;
+    Ending.Record->HttpStatus = HttpStatus;
+  }
+  const absl::MutexLock Lock(&Mutex);
+  Endings.push_back(std::move(Ending));
+  Changed.SignalAll();
+}
+
+bool claim_ledger::flush(wall_time Now) {
+  pendings Taken = takeClaims(Now);
+  const bool HadClaims = !Taken.empty();
+  commitClaims(std::move(Taken), Now);
+  const bool HadEndings = flushEndings(Now);
+  return HadClaims || HadEndings;
+}
+
+claim_ledger::pendings claim_ledger::takeClaims(wall_time Now) {
+  pendings Taken;
+  pendings Late;
+  {
+    const absl::MutexLock Lock(&Mutex);
+    absl::flat_hash_set<std::string> Keys;
+    std::deque<pending> Kept;
+    while (!Claims.empty() && Taken.size() < Settings.BatchLimit) {
+      pending Next = std::move(Claims.front());
+      Claims.pop_front();
+      if (Next.Claim.Record.Until <= Now)
+        Late.push_back(std::move(Next));
+      else if (Keys.insert(Next.Claim.RowKey).second)
+        Taken.push_back(std::move(Next));
+      else
+        Kept.push_back(std::move(Next)); // Finds the other's row next time.
+    }
+    std::move(Kept.rbegin(), Kept.rend(), std::front_inserter(Claims));
+  }
+  for (const pending &Pending : Late)
+    refuse(Pending, error_kind::IdempotencyUnavailable, Now);
+  return Taken;
+}
+
+absl::Status claim_ledger::tryCommit(const pendings &Pending) const {
+  std::vector<platform::condition> Conditions;
+  std::vector<platform::write> Writes;
+  for (const pending &One : Pending) {
+    Conditions.push_back({One.Claim.RowKey, One.Expected});
+    Writes.push_back({One.Claim.RowKey, encodeClaim(One.Claim.Record)});
+  }
+  return Table.Commit(Conditions, Writes);
+}
+
+void claim_ledger::commitClaims(pendings Pending, wall_time Now) {
+  for (int Round = 0; Round < CommitRounds && !Pending.empty(); ++Round) {
+    const absl::Status Status = tryCommit(Pending);
+    if (Status.ok()) {
+      for (const pending &One : Pending)
+        grant(One, Now);
+      return;
+    }
+    if (absl::IsUnavailable(Status))
+      break;
+    if (!absl::IsAborted(Status))
+      for (pending &One : Pending)
+        One.InDoubt = true;
+    Pending = resolve(std::move(Pending), Now);
+  }
+  for (const pending &One : Pending)
+    refuse(One, error_kind::IdempotencyUnavailable, Now);
+}
+
+claim_ledger::pendings claim_ledger::resolve(pendings Pending, wall_time Now) {
+  pendings Open;
+  for (pending &One : Pending)
+    if (!resolveOne(One, Now))
+      Open.push_back(std::move(One));
+  return Open;
+}
+
+bool claim_ledger::resolveOne(pending &Pending, wall_time Now) {
+  const auto Row = Table.Get(Pending.Claim.RowKey);
+  if (!Row.ok()) {
+    refuse(Pending, error_kind::IdempotencyUnavailable, Now);
+    return true;
+  }
+  Pending.Expected = Row->Version;
+  if (Row->Version == 0)
+    return false;
+  const auto Existing = decodeClaim(Row->Value);
+  if (!Existing) {
+    refuse(Pending, error_kind::IdempotencyUnavailable, Now);
+    return true;
+  }
+  if (Existing->ClaimId == Pending.Claim.Record.ClaimId) {
+    grant(Pending, Now);
+    return true;
+  }
+  const auto Kind = judgeRepeat(*Existing, Pending.Claim.Record.Fingerprint,
+                                Now, Settings.ClockSkew);
+  if (!Kind)
+    return false;
+  refuse(Pending, *Kind, Now, Existing->HttpStatus);
+  return true;
+}
+
+void claim_ledger::grant(const pending &Pending, wall_time Now) {
+  claim_answer Answer;
+  Answer.Claim = Pending.Claim;
+  if (!Pending.Done(Answer))
+    release(Pending.Claim, Now, false);
+}
+
+void claim_ledger::refuse(const pending &Pending, error_kind Kind,
+                          wall_time Now, int EarlierStatus) {
+  claim_answer Answer;
+  Answer.Refusal = Kind;
+  Answer.EarlierStatus = EarlierStatus;
+  Pending.Done(Answer);
+  if (Pending.InDoubt)
+    release(Pending.Claim, Now, true);
+}
+
+void claim_ledger::release(const claim &Claim, wall_time Now, bool MayAppear) {
+  const absl::MutexLock Lock(&Mutex);
+  Endings.push_back(
+      {Claim, std::nullopt, Now + Settings.AbandonedWatch, MayAppear});
+  Changed.SignalAll();
+}
+
+bool claim_ledger::flushEndings(wall_time Now) {
+  std::deque<ending> Taken;
+  {
+    const absl::MutexLock Lock(&Mutex);
+    const size_t Count = std::min(EndingsPerFlush, Endings.size());
+    const auto Middle = Endings.begin() + static_cast<ptrdiff_t>(Count);
+    Taken.assign(std::make_move_iterator(Endings.begin()),
+                 std::make_move_iterator(Middle));
+    Endings.erase(Endings.begin(), Middle);
+  }
+  std::deque<ending> Open;
+  for (ending &Ending : Taken)
+    if (!writeEnding(Ending) && Now < Ending.GiveUp)
+      Open.push_back(std::move(Ending));
+  const bool Progress = Open.size() < Taken.size();
+  const absl::MutexLock Lock(&Mutex);
+  std::move(Open.begin(), Open.end(), std::back_inserter(Endings));
+  return Progress;
+}
+
+bool claim_ledger::writeEnding(const ending &Ending) {
+  const auto Row = Table.Get(Ending.Claim.RowKey);
+  if (!Row.ok())
+    return false;
+  if (Row->Version == 0)
+    return !Ending.MayAppear;
+  const auto Existing = decodeClaim(Row->Value);
+  if (!Existing || Existing->ClaimId != Ending.Claim.Record.ClaimId)
+    return true;
+  platform::write Write{Ending.Claim.RowKey, std::nullopt};
+  if (Ending.Record)
+    Write.Value = encodeClaim(*Ending.Record);
+  const platform::condition Condition{Ending.Claim.RowKey, Row->Version};
+  // The version keeps another's later claim safe from a late write.
+  return Table.Commit({&Condition, 1}, {&Write, 1}).ok();
+}
+
+void claim_ledger::awaitWork(std::chrono::milliseconds Limit) {
+  const absl::Time Deadline = absl::Now() + absl::FromChrono(Limit);
+  const absl::MutexLock Lock(&Mutex);
+  while (Claims.empty())
+    if (Changed.WaitWithDeadline(&Mutex, Deadline) || !Endings.empty())
+      return;
+}
+
+absl::StatusOr<size_t> claim_ledger::removeExpired(uint8_t Part,
+                                                   wall_time Now) {
+  constexpr std::string_view Digits = "0123456789abcdef";
+  const std::array<char, 2> Suffix = {Digits.at(Part / Digits.size()),
+                                      Digits.at(Part % Digits.size())};
+  const std::string Prefix =
+      std::string(ClaimRowPrefix) + std::string(Suffix.data(), Suffix.size());
+  const auto Rows = Table.Scan(Prefix);
+  if (!Rows.ok())
+    return Rows.status();
+  size_t Removed = 0;
+  for (const platform::row &Row : *Rows) {
+    const auto Record = decodeClaim(Row.Value);
+    if (!Record || Now <= Record->Expires + Settings.ClockSkew)
+      continue;
+    const platform::condition Condition{Row.Key, Row.Version};
+    const platform::write Write{Row.Key, std::nullopt};
+    if (Table.Commit({&Condition, 1}, {&Write, 1}).ok())
+      ++Removed;
+  }
+  return Removed;
+}
+
+size_t claim_ledger::waiting() const {
+  const absl::MutexLock Lock(&Mutex);
+  return Claims.size() + Endings.size();
+}
+
+} // namespace magnolia::request
--- /dev/null
+++ b/Source/Core/Request/ClaimLedger.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include "Platform/Services.h"
+#include "Request/AttemptPlan.h"
+#include "Request/Idempotency.h"
+
+namespace magnolia::request {
+
+struct claim_settings {
+  /// Name of this instance, for operators.
+  std::string Instance;
+  /// How long a key is remembered.
+  std::chrono::hours KeepTime{24};
+  /// Largest difference between the clocks of two instances.
+  std::chrono::milliseconds ClockSkew{2000};
+  /// Claims in one transaction.
+  size_t BatchLimit = 64;
+  /// Claims that wait; more are refused at once.
+  size_t QueueLimit = 4096;
+  /// How long a row is looked for that a lost commit may still write.
+  std::chrono::seconds AbandonedWatch{60};
+};
+
+/// A claim that this instance holds.
+struct claim {
+  std::string RowKey;
+  claim_record Record;
+};
+
+/// What a request with an Idempotency-Key gets.
+struct claim_answer {
+  /// Absent when the request may be sent.
+  std::optional<common::error_kind> Refusal;
+  claim Claim;
+  /// HTTP status of the earlier answer, for IdempotencyCompleted.
+  int EarlierStatus = 0;
+};
+
+/// Claims idempotency keys in the platform's table, so that a request runs at
+/// most once whichever instance its repeats reach. Claims that arrive while a
+/// commit is under way go together in the next one. Thread-safe; one thread
+/// calls flush().
+class claim_ledger {
+public:
+  /// Returns false when nobody waits any more, which releases the claim.
+  using callback = std::function<bool(const claim_answer &)>;
+
+  claim_ledger(const claim_settings &Settings, platform::table_service Table);
+
+  /// Claims the key of \p Scope for a request that no target starts after
+  /// \p Until. \p Done is called by flush(), or at once when the queue is full.
+  void submit(const idempotency_scope &Scope, std::string Fingerprint,
+              common::wall_time Until, callback Done);
+
+  /// Records how the claimed request ended. One that did not run gives the key
+  /// free.
+  void finish(const claim &Claim, common::execution Execution, int HttpStatus);
+
+  /// Sends one group of what waits to the table. Blocks. Returns whether there
+  /// was anything to do.
+  bool flush(common::wall_time Now);
+
+  /// Blocks until something waits or \p Limit has passed.
+  void awaitWork(std::chrono::milliseconds Limit);
+
+  /// Removes expired rows of part \p Part of 256; returns how many.
+  absl::StatusOr<size_t> removeExpired(uint8_t Part, common::wall_time Now);
+
+  size_t waiting() const;
+
+private:
+  struct pending {
+    claim Claim;
+    callback Done;
+    /// The row's version that the commit expects; zero for none.
+    uint64_t Expected = 0;
+    /// A commit of it may have taken or may yet take effect.
+    bool InDoubt = false;
+  };
+  using pendings = std::vector<pending>;
+
+  /// The final state of a claim, to be written.
+  struct ending {
+    claim Claim;
+    /// Absent to remove the row.
+    std::optional<claim_record> Record;
+    common::wall_time GiveUp;
+    /// Whether a row that is absent may still appear.
+    bool MayAppear = false;
+  };
+
+  pendings takeClaims(common::wall_time Now);
+  void commitClaims(pendings Claims, common::wall_time Now);
+  absl::Status tryCommit(const pendings &Claims) const;
+  pendings resolve(pendings Claims, common::wall_time Now);
+  bool resolveOne(pending &Pending, common::wall_time Now);
+  void grant(const pending &Pending, common::wall_time Now);
+  void refuse(const pending &Pending, common::error_kind Kind,
+              common::wall_time Now, int EarlierStatus = 0);
+  void release(const claim &Claim, common::wall_time Now, bool MayAppear);
+  bool flushEndings(common::wall_time Now);
+  bool writeEnding(const ending &Ending);
+
+  const claim_settings Settings;
+  const platform::table_service Table;
+  mutable absl::Mutex Mutex;
+  absl::CondVar Changed;
+  std::deque<pending> Claims ABSL_GUARDED_BY(Mutex);
+  std::deque<ending> Endings ABSL_GUARDED_BY(Mutex);
+};
+
+} // namespace magnolia::request
--- a/Source/UnitTests/Net/Upstream/ScriptedServer.h
+++ b/Source/UnitTests/Net/Upstream/ScriptedServer.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 /// A target that answers with chosen bytes, for what no library would send.
@@ -28,6 +29,9 @@
   bool awaitClose();
   /// Closes with a reset.
   void reset();
+  /// Leaves the connection open without a reader; the caller of this closes
+  /// the returned descriptor.
+  int release() { return std::exchange(Descriptor, -1); }
   /// Ends blocked reads of the script.
   void shutdown();
 
--- a/Source/UnitTests/Net/Upstream/UpstreamTest.cpp
+++ b/Source/UnitTests/Net/Upstream/UpstreamTest.cpp
@@ -1,6 +1,7 @@
 #include <chrono>
 #include <future>
 #include <string>
+#include <unistd.h>
 
 #include <doctest/doctest.h>
 
@@ -403,11 +404,20 @@
   SUBCASE("after a whole answer") { CHECK(ConnectionsAfterTwo(Hello) == 1); }
 
   SUBCASE("but not for a request that must have a fresh one") {
+    int Kept = -1;
+    scripted_server Server({[&](scripted_connection &Connection) {
+                              Connection.readHead();
+                              Connection.send(Hello);
+                              Kept = Connection.release();
+                            },
+                            answering(Hello)});
+    CHECK(send(Pool, Request, Server.address()).Outcome.ok());
+    CHECK(Pool.idleCount() == 1);
     Request.Connection = connection_choice::FreshOnly;
-    scripted_server Server({answering(Hello)});
-    send(Pool, Request, Server.address());
-    send(Pool, Request, Server.address());
+    Request.Deadline = boot_clock::now() + seconds(5);
+    CHECK(send(Pool, Request, Server.address()).Body == "hello");
     CHECK(Server.connections() == 2);
+    ::close(Kept);
   }
 
   SUBCASE("but not with bytes left over") {
--- /dev/null
+++ b/Source/UnitTests/Request/ClaimLedgerTest.cpp
@@ -0,0 +1,292 @@
+#include "Request/ClaimLedger.h"
+
+#include <map>
+#include <random>
+
+#include <doctest/doctest.h>
+
+using namespace magnolia;
+using namespace magnolia::request;
+using common::error_kind;
+using common::execution;
+using common::wall_time;
+using std::chrono::seconds;
+
+namespace {
+
+const wall_time Start = common::fromUnixMicros(1'700'000'000'000'000);
+const idempotency_scope Scope{"falcons", "orders", "key-1"};
+constexpr auto Unavailable = error_kind::IdempotencyUnavailable;
+
+/// A table whose replies can be lost and whose commits can come late.
+class fake_table {
+public:
+  enum class fault { None, Down, LostReply, LostCall, LateCommit };
+
+  std::function<fault()> NextFault = [] { return fault::None; };
+  std::map<std::string, platform::row> Rows;
+  int Commits = 0;
+
+  platform::table_service hooks() {
+    return {[this](std::string_view Key) { return get(Key); },
+            [this](std::string_view Prefix) { return scan(Prefix); },
+            [this](auto Conditions, auto Writes) {
+              return commit({Conditions.begin(), Conditions.end()},
+                            {Writes.begin(), Writes.end()});
+            }};
+  }
+
+  /// Lets the commits arrive that were under way.
+  void arriveLate() {
+    for (auto &Commit : std::exchange(Late, {}))
+      Commit();
+  }
+
+private:
+  absl::StatusOr<platform::row> get(std::string_view Key) {
+    if (NextFault() == fault::Down)
+      return absl::UnavailableError("down");
+    const auto Found = Rows.find(std::string(Key));
+    return Found == Rows.end() ? platform::row{std::string(Key), "", 0}
+                               : Found->second;
+  }
+
+  absl::StatusOr<std::vector<platform::row>> scan(std::string_view Prefix) {
+    std::vector<platform::row> Found;
+    for (const auto &[Key, Row] : Rows)
+      if (Key.starts_with(Prefix))
+        Found.push_back(Row);
+    return Found;
+  }
+
+  absl::Status commit(const std::vector<platform::condition> &Conditions,
+                      const std::vector<platform::write> &Writes) {
+    ++Commits;
+    switch (NextFault()) {
+    case fault::Down:
+      return absl::UnavailableError("down");
+    case fault::LostReply:
+      (void)apply(Conditions, Writes);
+      return absl::UnknownError("lost");
+    case fault::LateCommit:
+      Late.push_back([=, this] { (void)apply(Conditions, Writes); });
+      return absl::UnknownError("lost");
+    case fault::LostCall:
+      return absl::UnknownError("lost");
+    case fault::None:
+      break;
+    }
+    return apply(Conditions, Writes);
+  }
+
+  absl::Status apply(const std::vector<platform::condition> &Conditions,
+                     const std::vector<platform::write> &Writes) {
+    for (const auto &Condition : Conditions) {
+      const auto Found = Rows.find(Condition.Key);
+      const uint64_t Version = Found == Rows.end() ? 0 : Found->second.Version;
+      if (Version != Condition.Version)
+        return absl::AbortedError("condition");
+    }
+    for (const auto &Write : Writes) {
+      if (Write.Value)
+        Rows[Write.Key] = {Write.Key, *Write.Value, ++LastVersion};
+      else
+        Rows.erase(Write.Key);
+    }
+    return absl::OkStatus();
+  }
+
+  std::vector<std::function<void()>> Late;
+  uint64_t LastVersion = 0;
+};
+
+using fault = fake_table::fault;
+
+/// One instance with its ledger.
+struct instance {
+  explicit instance(fake_table &Table) : Ledger({}, Table.hooks()) {}
+
+  claim_answer ask(const std::string &Body = "one pair",
+                   wall_time Now = Start) {
+    claim_answer Answer;
+    Ledger.submit(Scope, fingerprintOf("POST", "/orders", Body),
+                  Now + seconds(5), [&](const claim_answer &Given) {
+                    Answer = Given;
+                    return true;
+                  });
+    Ledger.flush(Now);
+    return Answer;
+  }
+
+  claim_ledger Ledger;
+};
+
+} // namespace
+
+TEST_CASE("A key that is claimed") {
+  fake_table Table;
+  instance First(Table);
+  instance Second(Table);
+  const claim_answer Granted = First.ask();
+  REQUIRE(!Granted.Refusal);
+
+  SUBCASE("is in progress for a repeat at any instance") {
+    CHECK(Second.ask().Refusal == error_kind::IdempotencyInProgress);
+    CHECK(First.ask().Refusal == error_kind::IdempotencyInProgress);
+  }
+
+  SUBCASE("is unknown once a killed claimant can no longer be at work") {
+    CHECK(Second.ask("one pair", Start + seconds(60)).Refusal ==
+          error_kind::IdempotencyUnknown);
+  }
+
+  SUBCASE("does not fit another request") {
+    CHECK(Second.ask("two pairs").Refusal == error_kind::IdempotencyMismatch);
+  }
+
+  SUBCASE("is completed after the answer, with its status") {
+    First.Ledger.finish(Granted.Claim, execution::Ran, 201);
+    First.Ledger.flush(Start);
+    const claim_answer Repeat = Second.ask();
+    CHECK(Repeat.Refusal == error_kind::IdempotencyCompleted);
+    CHECK(Repeat.EarlierStatus == 201);
+  }
+
+  SUBCASE("is unknown after an unknown end, and stays so") {
+    First.Ledger.finish(Granted.Claim, execution::Unknown, 0);
+    First.Ledger.flush(Start);
+    CHECK(Second.ask().Refusal == error_kind::IdempotencyUnknown);
+  }
+
+  SUBCASE("is free again when the request did not run") {
+    First.Ledger.finish(Granted.Claim, execution::NotRun, 0);
+    First.Ledger.flush(Start);
+    const claim_answer Repeat = Second.ask();
+    CHECK(!Repeat.Refusal);
+
+    SUBCASE("and a late end of the first does not touch the second") {
+      First.Ledger.finish(Granted.Claim, execution::NotRun, 0);
+      First.Ledger.flush(Start);
+      CHECK(First.ask().Refusal == error_kind::IdempotencyInProgress);
+    }
+  }
+
+  SUBCASE("is forgotten after a day") {
+    const wall_time Later = Start + std::chrono::hours(25);
+    SUBCASE("by a repeat") { CHECK(!Second.ask("x", Later).Refusal); }
+    SUBCASE("by the sweep") {
+      size_t Removed = 0;
+      for (int Part = 0; Part < 256; ++Part)
+        Removed +=
+            *Second.Ledger.removeExpired(static_cast<uint8_t>(Part), Later);
+      CHECK(Removed == 1);
+      CHECK(Table.Rows.empty());
+    }
+  }
+}
+
+TEST_CASE("A claim whose commit has no reply") {
+  fake_table Table;
+  instance First(Table);
+  int Calls = 0;
+
+  SUBCASE("is granted when the row turns out to be its own") {
+    Table.NextFault = [&] {
+      return Calls++ == 0 ? fault::LostReply : fault::None;
+    };
+    CHECK(!First.ask().Refusal);
+    CHECK(Table.Commits == 1);
+  }
+
+  SUBCASE("is tried again when nothing was written") {
+    Table.NextFault = [&] {
+      return Calls++ == 0 ? fault::LostCall : fault::None;
+    };
+    CHECK(!First.ask().Refusal);
+  }
+
+  SUBCASE("is refused as not run while the table is away, then released") {
+    Table.NextFault = [&] {
+      return Calls++ == 0 ? fault::LostReply : fault::Down;
+    };
+    CHECK(First.ask().Refusal == Unavailable);
+    CHECK(common::answerFor(Unavailable).Execution == execution::NotRun);
+    CHECK(Table.Rows.size() == 1);
+    Table.NextFault = [] { return fault::None; };
+    First.Ledger.flush(Start);
+    CHECK(Table.Rows.empty());
+  }
+
+  SUBCASE("is released when it takes effect after the refusal") {
+    Table.NextFault = [&] {
+      return Calls++ == 0 ? fault::LateCommit : fault::Down;
+    };
+    CHECK(First.ask().Refusal == Unavailable);
+    Table.NextFault = [] { return fault::None; };
+    First.Ledger.flush(Start);
+    Table.arriveLate();
+    CHECK(Table.Rows.size() == 1);
+    First.Ledger.flush(Start);
+    CHECK(Table.Rows.empty());
+  }
+}
+
+TEST_CASE("Claims that wait together go in one commit") {
+  fake_table Table;
+  instance First(Table);
+  REQUIRE(!First.ask().Refusal);
+  Table.Commits = 0;
+  size_t Granted = 0;
+  size_t Refused = 0;
+  for (int Key = 0; Key < 10; ++Key) {
+    idempotency_scope Other = Scope;
+    Other.Key = "key-" + std::to_string(Key);
+    First.Ledger.submit(Other, "f", Start + seconds(5), [&](const auto &Given) {
+      ++(Given.Refusal ? Refused : Granted);
+      return true;
+    });
+  }
+  First.Ledger.flush(Start);
+  // The taken key fails the first commit and costs the others one more.
+  CHECK(Granted == 9);
+  CHECK(Refused == 1);
+  CHECK(Table.Commits == 2);
+}
+
+TEST_CASE("A key's request is sent at most once whatever the table does") {
+  for (uint64_t Seed = 0; Seed < 2000; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937_64 Random(Seed);
+    fake_table Table;
+    Table.NextFault = [&] {
+      return static_cast<fault>(Random() % 10 < 5 ? 0 : Random() % 5);
+    };
+    std::vector<std::unique_ptr<instance>> Instances;
+    Instances.reserve(3);
+    for (int Count = 0; Count < 3; ++Count)
+      Instances.push_back(std::make_unique<instance>(Table));
+    int Runs = 0;
+    wall_time Now = Start;
+    for (int Turn = 0; Turn < 30; ++Turn) {
+      auto &Chosen = Instances[Random() % Instances.size()];
+      const claim_answer Answer = Chosen->ask("one pair", Now);
+      Now += std::chrono::milliseconds(Random() % 4000);
+      if (Random() % 4 == 0)
+        Table.arriveLate();
+      if (Random() % 8 == 0)
+        Chosen = std::make_unique<instance>(Table); // Killed and replaced.
+      if (Answer.Refusal) {
+        const bool SaysNotRun =
+            common::answerFor(*Answer.Refusal).Execution == execution::NotRun;
+        CHECK((!SaysNotRun || Answer.Refusal == Unavailable));
+        CHECK((Answer.Refusal != error_kind::IdempotencyCompleted || Runs));
+        continue;
+      }
+      const auto End = static_cast<execution>(Random() % 3);
+      // An unknown request may have run.
+      Runs += End == execution::NotRun ? 0 : 1;
+      Chosen->Ledger.finish(Answer.Claim, End, 200);
+    }
+    CHECK(Runs <= 1);
+  }
+}
