--- a/Source/UnitTests/Admission/FairQueueTest.cpp
+++ b/Source/UnitTests/Admission/FairQueueTest.cpp
@@ -120,8 +120,10 @@
     CHECK(Fleet.submit("clubs", {}, milliseconds(100)).ok());
     CHECK(Fleet.submit("resellers", {}, milliseconds(1000)).ok());
     Fleet.finishOldest(milliseconds(150));
+    Fleet.finishOldest(milliseconds(160));
     CHECK(Fleet.grantsOf("clubs") == 1);
     CHECK(Fleet.grantsOf("resellers") == 1);
+    CHECK(Fleet.Refused.size() == 1);
   }
 
   SUBCASE("forgets workspaces that stay idle") {
