--- a/Source/Magnoliad/Gateway.cpp
+++ b/Source/Magnoliad/Gateway.cpp
@@ -19,6 +19,8 @@
 constexpr std::string_view DirectoryPath = "/.magnolia/directory";
 constexpr std::string_view OwnPathPrefix = "/.magnolia/";
 
+constexpr std::string_view IdempotencyHeader = "Idempotency-Key";
+
 /// Outcomes in logs and metrics beside the names of the error table.
 constexpr std::string_view SuccessOutcome = "ok";
 constexpr std::string_view BrokenOutcome = "answer_broken_off";
@@ -47,6 +49,9 @@
   std::string_view Outcome = SuccessOutcome;
   contract::snapshot_ptr Snapshot;
   std::optional<rate_permit> Permit;
+  std::optional<request::claim> Claim;
+  /// Of the answer, once there is one.
+  int HttpStatus = 0;
   forward_request Request;
   forward_report Report;
 };
@@ -161,8 +166,11 @@
     Status = readBody(Exchange, *Visit);
   if (Status.ok() && Keyed)
     Status = admit(*Visit);
+  if (Status.ok())
+    Status = claimKey(*Visit);
   if (Status.ok())
     Status = forward(Exchange, Visit);
+  finishClaim(*Visit, Status);
   if (Visit->Permit)
     Visit->Permit->Cancel();
   return Status;
@@ -177,6 +185,32 @@
   return absl::OkStatus();
 }
 
+absl::Status gateway::claimKey(visit &Visit) const {
+  const forward_request &Request = Visit.Request;
+  const auto Key = http::findHeader(Request.Head->Headers, IdempotencyHeader);
+  if (!Key || Request.Route->Repeatable)
+    return absl::OkStatus();
+  // A body that streams is not there yet and stays out of the fingerprint.
+  const std::string Fingerprint = request::fingerprintOf(
+      Request.Head->Method, Request.Head->Target, Request.Body);
+  auto Claim = Hooks.ClaimKey(
+      {Request.Workspace, Request.Route->Name, std::string(*Key)}, Fingerprint,
+      Request.Deadline);
+  if (!Claim.ok())
+    return Claim.status();
+  Visit.Claim = *std::move(Claim);
+  return absl::OkStatus();
+}
+
+void gateway::finishClaim(visit &Visit, const absl::Status &Status) const {
+  if (!Visit.Claim)
+    return;
+  const common::execution Execution =
+      Status.ok() ? common::execution::Ran
+                  : common::answerFor(common::kindOf(Status)).Execution;
+  Hooks.FinishClaim(*Visit.Claim, Execution, Visit.HttpStatus);
+}
+
 absl::Status gateway::spend(visit &Visit) const {
   if (Visit.Request.Workspace.empty())
     return absl::OkStatus();
@@ -211,6 +245,7 @@
   if (!Answer.ok())
     return Answer.status();
 
+  Visit->HttpStatus = Answer->Status;
   const auto Produce = std::move(Answer->Produce);
   Exchange.answer(http::streamed_answer{
       Answer->Status, std::move(Answer->Headers), Answer->BodyLength,
--- a/Source/Magnoliad/Gateway.h
+++ b/Source/Magnoliad/Gateway.h
@@ -15,6 +15,7 @@
 #include "Magnoliad/Metrics.h"
 #include "Magnoliad/Settings.h"
 #include "Net/Http/HttpServer.h"
+#include "Request/ClaimLedger.h"
 
 namespace magnolia::daemon {
 
@@ -40,6 +41,17 @@
                                             common::boot_time Deadline)>
       AdmitRate;
 
+  /// Claims an idempotency key; see claim_agent.
+  std::function<absl::StatusOr<request::claim>(
+      const request::idempotency_scope &Scope, const std::string &Fingerprint,
+      common::boot_time Deadline)>
+      ClaimKey;
+
+  /// Records how a claimed request ended.
+  std::function<void(const request::claim &Claim, common::execution Execution,
+                     int HttpStatus)>
+      FinishClaim;
+
   /// The directory's answer to a caller of \p Workspace; empty without a key.
   std::function<http::whole_answer(std::string_view Workspace)> Directory;
 };
@@ -65,6 +77,8 @@
   absl::Status checkKey(const http::request_head &Head, visit &Visit) const;
   absl::Status authorize(std::string_view Secret, visit &Visit) const;
   absl::Status readBody(http::http_exchange &Exchange, visit &Visit) const;
+  absl::Status claimKey(visit &Visit) const;
+  void finishClaim(visit &Visit, const absl::Status &Status) const;
   absl::Status admit(visit &Visit) const;
   absl::Status forward(http::http_exchange &Exchange, const visit_ptr &Visit);
   absl::Status spend(visit &Visit) const;
--- a/Source/Magnoliad/MemberAgent.h
+++ b/Source/Magnoliad/MemberAgent.h
@@ -33,6 +33,9 @@
   /// Reads rows and list, writes the own row if it is due; blocks.
   void syncTable(common::boot_time Now);
 
+  /// Writes the own row if it does not name the version in force; blocks.
+  void confirm(common::boot_time Now) { writeRow(Now); }
+
   /// From now on this instance tells that it leaves.
   void leave() { Members.leave(); }
   bool leavingKnownToAll(common::boot_time Now) const {
--- a/Source/Magnoliad/NodeImpl.cpp
+++ b/Source/Magnoliad/NodeImpl.cpp
@@ -130,6 +130,7 @@
   Config = std::make_unique<config_agent>(
       Settings, Services, *Background, *Mail,
       [this](const contract::snapshot_ptr &Snapshot) { apply(Snapshot); });
+  Claims = std::make_unique<claim_agent>(Identity.Name, Services.Table);
   return absl::OkStatus();
 }
 
--- a/Source/Magnoliad/NodeImpl.h
+++ b/Source/Magnoliad/NodeImpl.h
@@ -9,6 +9,7 @@
 #include "Common/TimerService.h"
 #include "Magnoliad/AdminPages.h"
 #include "Magnoliad/Background.h"
+#include "Magnoliad/ClaimAgent.h"
 #include "Magnoliad/ConfigAgent.h"
 #include "Magnoliad/Forwarder.h"
 #include "Magnoliad/Gateway.h"
@@ -72,6 +73,7 @@
   std::unique_ptr<target_agent> Targets;
   std::unique_ptr<member_agent> Members;
   std::unique_ptr<config_agent> Config;
+  std::unique_ptr<claim_agent> Claims;
   std::unique_ptr<gateway> Gateway;
   std::unique_ptr<admin_pages> Admin;
   std::unique_ptr<http::http_server> Callers;
--- a/Source/Magnoliad/NodeRun.cpp
+++ b/Source/Magnoliad/NodeRun.cpp
@@ -24,6 +24,7 @@
 constexpr milliseconds SharePeriod{500};
 constexpr milliseconds TablePeriod{1000};
 constexpr milliseconds IdlePeriod{1000};
+constexpr milliseconds ClaimSweepPeriod{10'000};
 
 constexpr milliseconds StopPoll{20};
 /// Longest wait for peers that do not confirm that this instance leaves.
@@ -71,6 +72,7 @@
                     [this] { Targets->pollLease(boot_clock::now()); });
   everyInBackground(LeasePeriod, [this] { Targets->probe(boot_clock::now()); });
   everyInBackground(SharePeriod, [this] { stepRates(); });
+  everyInBackground(ClaimSweepPeriod, [this] { Claims->removeExpired(); });
 }
 
 void node::impl::shareTargets(boot_time Now) {
@@ -92,6 +94,8 @@
   Selector.setServices(Snapshot->content().Manifest.Services);
   Queues.setConfiguration(Snapshot);
   Rates->setConfiguration(Snapshot);
+  // Operators wait for the row that confirms the version.
+  Background->run([this] { Members->confirm(boot_clock::now()); });
 }
 
 gateway_hooks node::impl::gatewayHooks() {
@@ -101,6 +105,14 @@
   Hooks.AdmitRate = [this](std::string_view Workspace, boot_time Deadline) {
     return Rates->admit(Workspace, Deadline);
   };
+  Hooks.ClaimKey = [this](const request::idempotency_scope &Scope,
+                          const std::string &Fingerprint, boot_time Deadline) {
+    return Claims->claim(Scope, Fingerprint, Deadline);
+  };
+  Hooks.FinishClaim = [this](const request::claim &Claim,
+                             common::execution Execution, int HttpStatus) {
+    Claims->finish(Claim, Execution, HttpStatus);
+  };
   Hooks.Directory = [this](std::string_view Workspace) {
     return Members->answer(Rates->homes(Workspace), boot_clock::now());
   };
--- a/Source/ScenarioTests/Fleet.cpp
+++ b/Source/ScenarioTests/Fleet.cpp
@@ -25,6 +25,13 @@
 std::string instanceName(int Index) { return absl::StrCat("i", Index); }
 std::string targetName(int Index) { return absl::StrCat("t", Index); }
 
+std::string headerOf(const nlohmann::json &Run, const std::string &Name) {
+  for (const auto &Header : Run.at("headers"))
+    if (Header.at("name") == Name)
+      return Header.at("value");
+  return "";
+}
+
 std::map<std::string, int> readPorts(const std::string &File) {
   std::map<std::string, int> Ports;
   std::istringstream Lines(common::readFile(File).value_or(""));
@@ -290,9 +297,10 @@
     call Call;
     Call.Path = "/admin/runs";
     const auto Json = nlohmann::json::parse(send(target(Name), Call).Body);
-    for (const auto &Run : Json.is_array() ? Json : Json.at("runs"))
+    for (const auto &Run : Json)
       All.push_back({Name, Run.value("path", ""), Run.value("request_id", ""),
-                     Run.value("workspace", ""), Run.dump()});
+                     Run.value("workspace", ""), headerOf(Run, "X-Call"),
+                     Run.value("started_us", int64_t{0}), Run.dump()});
   }
   return All;
 }
--- a/Source/ScenarioTests/Fleet.h
+++ b/Source/ScenarioTests/Fleet.h
@@ -39,6 +39,10 @@
   std::string Path;
   std::string RequestId;
   std::string Workspace;
+  /// Value of the header X-Call.
+  std::string CallId;
+  /// When it started, in microseconds since 1970.
+  int64_t StartedMicros = 0;
   /// Everything that the target saw of the request, as JSON.
   std::string Json;
 };
--- /dev/null
+++ b/Source/ScenarioTests/RateScenario.cpp
@@ -0,0 +1,88 @@
+#include <chrono>
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+#include <doctest/doctest.h>
+
+#include "ScenarioTests/Callers.h"
+
+using namespace magnolia::scenario;
+
+namespace {
+
+constexpr double Rate = 40;
+constexpr double Burst = 12;
+constexpr int Threads = 12;
+
+/// Runs that the scenario waits for, enough for several bursts.
+constexpr size_t EnoughRuns = 150;
+
+fleet_plan plan() {
+  fleet_plan Plan;
+  Plan.BreakableLinks = true;
+  Plan.Workspaces = "  - {name: hunters, rate: 40, burst: 12}\n";
+  return Plan;
+}
+
+/// Callers of the workspace on every instance, without any pause between
+/// requests: far above the rate.
+caller_group flood(const fleet &Fleet, const std::string &Secret) {
+  std::vector<std::string> Addresses;
+  for (const std::string &Instance : Fleet.instances())
+    Addresses.push_back(Fleet.callers(Instance));
+  return caller_group(Threads, [Addresses, Secret](int Thread, int Number) {
+    call Call;
+    Call.Path = "/lookup/x";
+    Call.Secret = Secret;
+    Call.Timeout = std::chrono::milliseconds(8000);
+    const auto Index = static_cast<size_t>(Thread + Number) % Addresses.size();
+    return std::make_pair(Addresses[Index], Call);
+  });
+}
+
+void awaitRuns(const caller_group &Callers, size_t More) {
+  const size_t Before = Callers.count(200);
+  CHECK(await([&] { return Callers.count(200) >= Before + More; }));
+}
+
+} // namespace
+
+TEST_CASE("A workspace far above its rate gets no more than rate and burst") {
+  fleet Fleet(plan());
+  Fleet.applyManifest();
+  const std::string Secret = Fleet.issueKey("hunters", "hunters-1");
+  caller_group Callers = flood(Fleet, Secret);
+  awaitRuns(Callers, EnoughRuns);
+
+  SUBCASE("while all goes well") {}
+
+  SUBCASE("when an instance is frozen past its loans and goes on") {
+    Fleet.instanceProcess("i2").signal(SIGSTOP);
+    awaitRuns(Callers, EnoughRuns / 2);
+    Fleet.instanceProcess("i2").signal(SIGCONT);
+  }
+
+  SUBCASE("when an instance is killed and started again") {
+    Fleet.endInstance("i2", SIGKILL);
+    awaitRuns(Callers, EnoughRuns / 2);
+    Fleet.restartInstance("i2");
+  }
+
+  SUBCASE("when an instance hears no peer but is heard by them") {
+    Fleet.setLink("peer-i1", R"({"cut_up": true})");
+    awaitRuns(Callers, EnoughRuns / 2);
+    Fleet.setLink("peer-i1", R"({"clear": true, "reset": true})");
+  }
+
+  SUBCASE("when the platform is away and an instance stops") {
+    Fleet.setPlatform(R"({"down": true})");
+    CHECK(Fleet.endInstance("i3", SIGTERM) == 0);
+    awaitRuns(Callers, EnoughRuns / 2);
+    Fleet.setPlatform(R"({"down": false})");
+    Fleet.restartInstance("i3");
+  }
+
+  awaitRuns(Callers, EnoughRuns);
+  Callers.stop();
+  CHECK(worstExcess(Fleet.runs(), "hunters", Rate, Burst) <= 0);
+}
