Let instances that start together see one another before they divide rights

Cause: the first instance of a fresh fleet saw only itself and claimed every share; one killed soon after took the workspace's whole rate with it until its lease would end (scenario 'A caller repeats an order', killed: rate_unavailable at the other instance). Handovers would have spread the shares, but one each 30 s. An instance now waits 1.5 s before its first look at the shares.

--- a/Source/Magnoliad/ForwardSession.cpp
+++ b/Source/Magnoliad/ForwardSession.cpp
@@ -73,11 +73,6 @@
     giveUp(Choice);
 }
 
-size_t forward_session::attempts() {
-  const absl::MutexLock Lock(&Mutex);
-  return Attempts;
-}
-
 void forward_session::giveUp(const target::choice &Choice) {
   const boot_time Now = boot_clock::now();
   Selector.cancel(Choice, Now);
@@ -112,7 +107,6 @@
   }
   net::target_choice Result{Choice->Target, Choice->Address};
   const absl::MutexLock Lock(&Mutex);
-  ++Attempts;
   Running.emplace(Result.Name, std::move(*Choice));
   return Result;
 }
--- a/Source/Magnoliad/ForwardSession.h
+++ b/Source/Magnoliad/ForwardSession.h
@@ -41,8 +41,6 @@
   void ended(const std::string &Target,
              const request::attempt_outcome &Outcome);
 
-  size_t attempts();
-
 private:
   std::optional<target::choice>
   chooseWithRoom(absl::Span<const std::string> Tried);
@@ -53,7 +51,6 @@
   const queue_turn_ptr Turn;
   const latency_hook OnLatency;
   absl::Mutex Mutex;
-  size_t Attempts ABSL_GUARDED_BY(Mutex) = 0;
   /// By the target's name; a request goes to a target at most once.
   absl::flat_hash_map<std::string, target::choice>
       Running ABSL_GUARDED_BY(Mutex);
--- a/Source/Magnoliad/Forwarder.h
+++ b/Source/Magnoliad/Forwarder.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -45,7 +46,8 @@
 /// What became of a request, for the log.
 struct forward_report {
   std::string Target;
-  size_t Attempts = 0;
+  /// When the right to send each attempt was spent.
+  std::vector<common::boot_time> Spent;
 };
 
 /// The whole head of an answer, whose body follows.
--- a/Source/Magnoliad/Gateway.cpp
+++ b/Source/Magnoliad/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "Magnoliad/Gateway.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "Common/Digest.h"
 #include "Common/ErrorKind.h"
@@ -31,6 +32,13 @@
 /// Body bytes that wait in memory between caller and target.
 constexpr size_t PipeBytes = size_t{256} * 1024;
 
+/// Boot-clock microseconds at which each attempt was paid for.
+std::string spentText(const forward_report &Report) {
+  return absl::StrJoin(Report.Spent, ",", [](std::string *Out, boot_time Time) {
+    absl::StrAppend(Out, Time.time_since_epoch().count());
+  });
+}
+
 } // namespace
 
 /// What is known of one request while it is served; recorded when the last part
@@ -212,6 +220,13 @@
 }
 
 absl::Status gateway::spend(visit &Visit) const {
+  absl::Status Spent = spendRight(Visit);
+  if (Spent.ok())
+    Visit.Report.Spent.push_back(boot_clock::now());
+  return Spent;
+}
+
+absl::Status gateway::spendRight(visit &Visit) const {
   if (Visit.Request.Workspace.empty())
     return absl::OkStatus();
   // Targets count every attempt, so a retry needs a right of its own.
@@ -282,7 +297,8 @@
                {"key", Visit.KeyId},
                {"outcome", std::string(Visit.Outcome)},
                {"target", Visit.Report.Target},
-               {"attempts", std::to_string(Visit.Report.Attempts)},
+               {"attempts", std::to_string(Visit.Report.Spent.size())},
+               {"spent_us", spentText(Visit.Report)},
                {"micros", std::to_string(Latency.count())}});
 }
 
--- a/Source/Magnoliad/NodeImpl.h
+++ b/Source/Magnoliad/NodeImpl.h
@@ -63,6 +63,7 @@
   const std::string Process;
   const std::string BootId;
   const uint64_t Incarnation;
+  const common::boot_time Started = common::boot_clock::now();
   metrics Metrics;
   target::target_selector Selector;
   net::upstream_pool Upstream;
--- a/Source/Magnoliad/NodeRun.cpp
+++ b/Source/Magnoliad/NodeRun.cpp
@@ -22,6 +22,7 @@
 constexpr milliseconds DigestPeriod{250};
 constexpr milliseconds LeasePeriod{1000};
 constexpr milliseconds SharePeriod{500};
+constexpr milliseconds SettleTime{1500};
 constexpr milliseconds TablePeriod{1000};
 constexpr milliseconds IdlePeriod{1000};
 constexpr milliseconds ClaimSweepPeriod{10'000};
@@ -81,7 +82,8 @@
 }
 
 void node::impl::stepRates() {
-  if (Leaving)
+  // Instances that start together see one another before they divide rights.
+  if (Leaving || boot_clock::now() < Started + SettleTime)
     return;
   const absl::Status Status =
       Rates->step(Members->candidates(boot_clock::now()));
--- a/Source/ScenarioTests/OnceScenario.cpp
+++ b/Source/ScenarioTests/OnceScenario.cpp
@@ -123,6 +123,7 @@
     Fleet.endInstance("i1", SIGKILL);
     Caller.join();
     const call_result Repeat = send(Other, Order);
+    CAPTURE(Repeat.Body);
     CHECK(Repeat.Status == 409);
     CHECK(Repeat.Ran != "no");
     CHECK(Fleet.runs().size() == 1);
