--- /dev/null
+++ b/Source/UnitTests/Platform/ConfigFollowerTest.cpp
@@ -0,0 +1,226 @@
+#include "Platform/ConfigFollower.h"
+
+#include <random>
+
+#include <doctest/doctest.h>
+
+#include "FollowerFleet.h"
+
+using namespace magnolia::platform;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr size_t FleetSize = 14;
+/// Longer than the staleness bound of eight seconds.
+constexpr seconds PastStaleness(10);
+constexpr seconds InForceWithin(4);
+
+size_t countServing(const follower_fleet &Fleet) {
+  size_t Count = 0;
+  for (size_t Index = 0; Index < Fleet.size(); ++Index)
+    Count += Fleet.servesKeyed(Index) ? 1 : 0;
+  return Count;
+}
+
+} // namespace
+
+TEST_CASE("A fleet that follows the configuration") {
+  follower_fleet Fleet(FleetSize, 1);
+
+  SUBCASE("serves nothing before the first version") {
+    Fleet.runFor(seconds(5));
+    CHECK(Fleet.allHave(0));
+    CHECK(countServing(Fleet) == 0);
+  }
+
+  const uint64_t First = Fleet.change();
+  Fleet.runFor(InForceWithin);
+  REQUIRE(Fleet.allHave(First));
+  REQUIRE(countServing(Fleet) == FleetSize);
+
+  SUBCASE("has a change in force everywhere within seconds") {
+    const uint64_t Version = Fleet.change();
+    Fleet.runFor(InForceWithin);
+    CHECK(Fleet.allHave(Version));
+    CHECK(Fleet.reverts() == 0);
+  }
+
+  SUBCASE("goes on while the platform is away for hours") {
+    Fleet.platform().setFaults({true, {}, 0, 0});
+    Fleet.runFor(hours(1));
+    CHECK(countServing(Fleet) == FleetSize);
+
+    SUBCASE("and instances that are replaced learn from their peers") {
+      for (size_t Index = 0; Index < FleetSize; ++Index) {
+        Fleet.restart(Index);
+        CHECK_FALSE(Fleet.servesKeyed(Index));
+        Fleet.runFor(PastStaleness);
+        CHECK(Fleet.versionOf(Index) == First);
+        CHECK(Fleet.servesKeyed(Index));
+      }
+    }
+    SUBCASE("but not for instances that hear too few peers") {
+      for (size_t Index = 0; Index < FleetSize / 2; ++Index)
+        for (size_t Other = FleetSize / 2; Other < FleetSize; ++Other) {
+          Fleet.cutLink(Index, Other, true);
+          Fleet.cutLink(Other, Index, true);
+        }
+      Fleet.runFor(PastStaleness);
+      CHECK(countServing(Fleet) == 0);
+    }
+  }
+
+  SUBCASE("reaches an instance that is cut from the platform alone") {
+    Fleet.cutFromTable(3, true);
+    Fleet.runFor(PastStaleness);
+    CHECK(Fleet.servesKeyed(3));
+    const uint64_t Version = Fleet.change();
+    Fleet.runFor(PastStaleness);
+    CHECK(Fleet.versionOf(3) == Version);
+    CHECK(Fleet.servesKeyed(3));
+  }
+
+  SUBCASE("has an instance refuse that is cut from all, until it is back") {
+    Fleet.cutFromTable(3, true);
+    SUBCASE("both ways") { Fleet.cutFromPeers(3, true); }
+    SUBCASE("so that it only hears") {
+      for (size_t Other = 0; Other < FleetSize; ++Other)
+        Fleet.cutLink(3, Other, true);
+    }
+    SUBCASE("so that it is only heard") {
+      for (size_t Other = 0; Other < FleetSize; ++Other)
+        Fleet.cutLink(Other, 3, true);
+    }
+    Fleet.runFor(PastStaleness);
+    CHECK_FALSE(Fleet.servesKeyed(3));
+    CHECK(countServing(Fleet) == FleetSize - 1);
+    const uint64_t Version = Fleet.change();
+    Fleet.cutFromTable(3, false);
+    Fleet.runFor(InForceWithin);
+    CHECK(Fleet.versionOf(3) == Version);
+    CHECK(Fleet.servesKeyed(3));
+  }
+
+  SUBCASE("has a minority refuse whose members only hear each other") {
+    for (size_t Index = 0; Index < 6; ++Index) {
+      Fleet.cutFromTable(Index, true);
+      for (size_t Other = 6; Other < FleetSize; ++Other) {
+        Fleet.cutLink(Index, Other, true);
+        Fleet.cutLink(Other, Index, true);
+      }
+    }
+    Fleet.runFor(PastStaleness);
+    CHECK(countServing(Fleet) == FleetSize - 6);
+  }
+
+  SUBCASE("has a paused instance refuse as soon as it goes on") {
+    // Messages that wait meanwhile must not count as news.
+    Fleet.runFor(milliseconds(950));
+    Fleet.pause(3, true);
+    Fleet.runFor(PastStaleness);
+    const uint64_t Version = Fleet.change();
+    Fleet.pause(3, false);
+    CHECK_FALSE(Fleet.servesKeyed(3));
+    Fleet.runFor(InForceWithin);
+    CHECK(Fleet.versionOf(3) == Version);
+    CHECK(Fleet.servesKeyed(3));
+  }
+
+  SUBCASE("ignores a head that went back") {
+    const uint64_t Version = Fleet.change();
+    Fleet.runFor(InForceWithin);
+    const services Services = Fleet.platform().bind();
+    REQUIRE(Services.Table
+                .Commit({}, {{{std::string(ConfigHeadKey),
+                               R"({"version":1,"change_id":"x",)"
+                               R"("digest":"y","actor":"z"})"}}})
+                .ok());
+    Fleet.runFor(PastStaleness);
+    CHECK(Fleet.allHave(Version));
+    CHECK(Fleet.reverts() == 0);
+  }
+}
+
+namespace {
+
+constexpr uint64_t Schedules = 40;
+constexpr int StepsPerSchedule = 120;
+/// Longest time from a change's acceptance to the last keyed request served
+/// without it: a vouch may be as old as the poll that brings the news, plus the
+/// staleness bound.
+constexpr seconds StopsWithin(12);
+
+/// Cuts, pauses and restarts at most a minority, so that the cut which the
+/// staleness rule leaves uncovered does not arise.
+class random_faults {
+public:
+  random_faults(follower_fleet &Fleet, uint64_t Seed)
+      : Fleet(Fleet), Random(Seed) {}
+
+  void step() {
+    const size_t Index = Random() % (FleetSize / 2 - 1);
+    switch (Random() % 8) {
+    case 0:
+      Fleet.cutFromTable(Index, Random() % 2 == 0);
+      break;
+    case 1:
+      Fleet.cutFromPeers(Index, Random() % 2 == 0);
+      break;
+    case 2:
+      Fleet.cutLink(Index, Random() % FleetSize, Random() % 2 == 0);
+      break;
+    case 3:
+      Fleet.pause(Index, Random() % 2 == 0);
+      break;
+    case 4:
+      if (!Fleet.isPaused(Index))
+        Fleet.restart(Index);
+      break;
+    case 5:
+      Fleet.platform().setFaults({Random() % 3 == 0, {}, 0, 0});
+      break;
+    default:
+      change();
+    }
+  }
+
+  void check() const {
+    CHECK(Fleet.reverts() == 0);
+    for (size_t Index = 0; Index < FleetSize; ++Index) {
+      const uint64_t Next = Fleet.versionOf(Index) + 1;
+      if (Fleet.isPaused(Index) || !Fleet.servesKeyed(Index) || Next > Latest)
+        continue;
+      CHECK_MESSAGE(Fleet.now() <= Fleet.acceptedAt(Next) + StopsWithin,
+                    "instance ", Index, " serves without version ", Next);
+    }
+  }
+
+private:
+  void change() {
+    if (const uint64_t Version = Fleet.change(); Version > 0)
+      Latest = Version;
+  }
+
+  follower_fleet &Fleet;
+  std::mt19937_64 Random;
+  uint64_t Latest = 0;
+};
+
+} // namespace
+
+TEST_CASE("Under random faults no instance reverts or serves on old keys") {
+  for (uint64_t Seed = 1; Seed <= Schedules; ++Seed) {
+    CAPTURE(Seed);
+    follower_fleet Fleet(FleetSize, Seed);
+    Fleet.setLoss(50);
+    random_faults Faults(Fleet, Seed);
+    for (int Step = 0; Step < StepsPerSchedule; ++Step) {
+      Faults.step();
+      Fleet.runFor(seconds(1));
+      Faults.check();
+    }
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Platform/ConfigFreshnessTest.cpp
@@ -0,0 +1,75 @@
+#include "Platform/ConfigFreshness.h"
+
+#include <doctest/doctest.h>
+
+using namespace magnolia::platform;
+using magnolia::common::boot_time;
+using std::chrono::seconds;
+
+namespace {
+
+boot_time at(int Seconds) { return boot_time(seconds(Seconds)); }
+
+} // namespace
+
+TEST_CASE("An instance with five peers and eight seconds of freshness") {
+  config_freshness Freshness({seconds(8), 15});
+  Freshness.setPeerCount(5);
+  for (const char *Peer : {"a", "b", "c", "d", "e"})
+    Freshness.addAsked(Peer);
+
+  SUBCASE("serves no keyed request before it has a version") {
+    Freshness.addClaim(3, at(10));
+    CHECK(Freshness.keyedUntil() == boot_time::min());
+    SUBCASE("and then by what it learned before") {
+      Freshness.setApplied(3);
+      CHECK(Freshness.keyedUntil() == at(18));
+    }
+  }
+
+  SUBCASE("serves as long as the latest claim is fresh") {
+    Freshness.setApplied(3);
+    CHECK(Freshness.keyedUntil() == boot_time::min());
+    Freshness.addClaim(3, at(10));
+    Freshness.addClaim(2, at(12));
+    Freshness.addClaim(3, at(11));
+    CHECK(Freshness.keyedUntil() == at(20));
+  }
+
+  SUBCASE("without the table needs three peers, a majority with itself") {
+    Freshness.setApplied(3);
+    Freshness.addVouch("a", 3, at(20));
+    Freshness.addVouch("b", 2, at(21));
+    Freshness.addVouch("b", 3, at(22));
+    CHECK(Freshness.keyedUntil() == boot_time::min());
+    Freshness.addVouch("stranger", 3, at(23));
+    Freshness.addVouch("c", 4, at(23));
+    CHECK(Freshness.keyedUntil() == boot_time::min());
+    Freshness.addVouch("d", 3, at(19));
+    CHECK(Freshness.keyedUntil() == at(27));
+  }
+
+  SUBCASE("stops when it cannot get a version that it heard of") {
+    Freshness.setApplied(3);
+    Freshness.addHeard(4, at(30));
+    Freshness.addHeard(5, at(34));
+    for (const char *Peer : {"a", "b", "c", "d", "e"})
+      Freshness.addVouch(Peer, 3, at(100));
+    CHECK(Freshness.keyedUntil() == at(38));
+    Freshness.setApplied(5);
+    CHECK(Freshness.keyedUntil() == at(108));
+  }
+}
+
+TEST_CASE("A large fleet vouches by the peers asked last") {
+  config_freshness Freshness({seconds(8), 3});
+  Freshness.setPeerCount(100);
+  Freshness.setApplied(1);
+  for (const char *Peer : {"a", "b", "c", "d"})
+    Freshness.addAsked(Peer);
+  Freshness.addVouch("a", 1, at(5));
+  Freshness.addVouch("b", 1, at(5));
+  CHECK(Freshness.keyedUntil() == boot_time::min());
+  Freshness.addVouch("d", 1, at(6));
+  CHECK(Freshness.keyedUntil() == at(13));
+}
--- /dev/null
+++ b/Source/UnitTests/Platform/ConfigStoreTest.cpp
@@ -0,0 +1,149 @@
+#include "Platform/ConfigStore.h"
+
+#include <doctest/doctest.h>
+
+#include "Contract/Edit.h"
+#include "Platform/MemoryPlatform.h"
+
+using namespace magnolia::platform;
+using magnolia::contract::configuration;
+
+namespace {
+
+change_request addWorkspace(const std::string &Actor, const std::string &Name) {
+  change_request Request;
+  Request.Actor = Actor;
+  Request.Action = "apply";
+  Request.Edit = [Name](configuration &Configuration) {
+    Configuration.Manifest.Workspaces.push_back({Name, 1, 1});
+    return absl::OkStatus();
+  };
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("A configuration store") {
+  std::function<void()> BeforeCall;
+  memory_platform_hooks PlatformHooks;
+  PlatformHooks.BeforeCall = [&] {
+    if (BeforeCall)
+      std::exchange(BeforeCall, nullptr)();
+  };
+  memory_platform Platform(PlatformHooks);
+  config_store_hooks Hooks;
+  Hooks.Sleep = [](std::chrono::milliseconds) {};
+  config_store Store(Platform.bind(), Hooks);
+
+  SUBCASE("is at version zero before the first change") {
+    CHECK(Store.readHead()->Version == 0);
+    CHECK(Store.readAudit(5)->empty());
+  }
+
+  SUBCASE("commits a change with its audit entry") {
+    const auto Accepted = Store.change(addWorkspace("ana", "clubs"));
+    REQUIRE(Accepted.ok());
+    CHECK(Accepted->Version == 1);
+    const auto Head = Store.readHead();
+    CHECK(Head->ChangeId == Accepted->ChangeId);
+    CHECK(Store.load(*Head)->Manifest.Workspaces[0].Name == "clubs");
+    const auto Audit = Store.readAudit(5);
+    REQUIRE(Audit->size() == 1);
+    CHECK(Audit->front().Actor == "ana");
+    CHECK(Audit->front().Changes ==
+          std::vector<std::string>{"+ workspace clubs: burst 1, rate 1"});
+
+    SUBCASE("and leaves the version where nothing changes") {
+      change_request Nothing = addWorkspace("ana", "");
+      Nothing.Edit = [](configuration &) { return absl::OkStatus(); };
+      const auto Outcome = Store.change(Nothing);
+      CHECK_FALSE(Outcome->Changed);
+      CHECK(Outcome->Version == 1);
+    }
+
+    SUBCASE("and refuses one that builds on an older version") {
+      change_request Late = addWorkspace("eva", "riders");
+      Late.BasedOn = 0;
+      const absl::Status Status = Store.change(Late).status();
+      CHECK(absl::IsAborted(Status));
+      CHECK(std::string(Status.message()).find("by ana") != std::string::npos);
+    }
+  }
+
+  SUBCASE("learns the outcome of a commit whose reply was lost") {
+    platform_faults Faults;
+    SUBCASE("after the effect") { Faults.LoseReplies = 1; }
+    SUBCASE("after the effect, again and again") { Faults.LoseReplies = 3; }
+    SUBCASE("before the effect") { Faults.HoldCommits = 1; }
+    Platform.setFaults(Faults);
+    REQUIRE(Store.change(addWorkspace("ana", "clubs")).ok());
+    Platform.releaseHeldCommits();
+    CHECK(Store.readHead()->Version == 1);
+    CHECK(Store.load(*Store.readHead())->Manifest.Workspaces.size() == 1);
+  }
+
+  SUBCASE("says that the outcome is unknown while it cannot learn it") {
+    Platform.setFaults({false, {}, 0, 100});
+    const absl::Status Status =
+        Store.change(addWorkspace("ana", "clubs")).status();
+    CHECK(absl::IsUnknown(Status));
+    CHECK(std::string(Status.message()).find("may have been accepted") !=
+          std::string::npos);
+    Platform.releaseHeldCommits();
+    CHECK(Store.readHead()->Version == 1);
+  }
+
+  SUBCASE("lets one of two racing operators win and names it to the other") {
+    config_store Other(Platform.bind(), Hooks);
+    change_request Slow = addWorkspace("ana", "clubs");
+    const auto Edit = Slow.Edit;
+    Slow.Edit = [&](configuration &Configuration) {
+      // The other operator comes in after the head was read.
+      if (Other.readHead()->Version == 0)
+        REQUIRE(Other.change(addWorkspace("eva", "riders")).ok());
+      return Edit(Configuration);
+    };
+    SUBCASE("a manifest is refused") {
+      const absl::Status Status = Store.change(Slow).status();
+      CHECK(absl::IsAborted(Status));
+      CHECK(std::string(Status.message()).find("by eva") != std::string::npos);
+      CHECK(Store.readHead()->Version == 1);
+    }
+    SUBCASE("a key change is made anew on top") {
+      Slow.RetryOnConflict = true;
+      CHECK(Store.change(Slow)->Version == 2);
+      CHECK(Store.load(*Store.readHead())->Manifest.Workspaces.size() == 2);
+    }
+  }
+
+  SUBCASE("tells its own change from later ones after a lost reply") {
+    config_store Other(Platform.bind(), Hooks);
+    Platform.setFaults({false, {}, 1, 0});
+    int Calls = 0;
+    // Calls of the change: head, put, commit, and the read that resolves it.
+    const std::function<void()> Count = [&] {
+      if (++Calls == 4)
+        REQUIRE(Other.change(addWorkspace("eva", "riders")).ok());
+      else
+        BeforeCall = Count;
+    };
+    BeforeCall = Count;
+    const auto Accepted = Store.change(addWorkspace("ana", "clubs"));
+    REQUIRE(Accepted.ok());
+    CHECK(Accepted->Version == 1);
+    CHECK(Store.readHead()->Version == 2);
+  }
+
+  SUBCASE("refuses without effect while the platform is down") {
+    Platform.setFaults({true, {}, 0, 0});
+    CHECK(absl::IsUnavailable(
+        Store.change(addWorkspace("ana", "clubs")).status()));
+  }
+
+  SUBCASE("does not take an object that is not the one named") {
+    REQUIRE(Store.change(addWorkspace("ana", "clubs")).ok());
+    config_head Head = *Store.readHead();
+    Head.Version = 2;
+    CHECK(absl::IsDataLoss(Store.load(Head).status()));
+  }
+}
--- /dev/null
+++ b/Source/UnitTests/Platform/FollowerFleet.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Platform/ConfigFollower.h"
+#include "Platform/ConfigStore.h"
+#include "Platform/MemoryPlatform.h"
+
+namespace magnolia::platform {
+
+/// Followers on made-up time, wired to each other and to a memory_platform by
+/// links that can be cut one way.
+class follower_fleet {
+public:
+  using time = common::boot_time;
+
+  follower_fleet(size_t Count, uint64_t Seed);
+
+  memory_platform &platform() { return Platform; }
+  time now() const { return Now; }
+  size_t size() const { return Instances.size(); }
+
+  void runFor(std::chrono::milliseconds Duration);
+
+  /// Cuts or mends the link by which \p From sends to \p To.
+  void cutLink(size_t From, size_t To, bool Cut);
+  /// Cuts or mends every link of \p Instance with others, both ways.
+  void cutFromPeers(size_t Instance, bool Cut);
+  void cutFromTable(size_t Instance, bool Cut);
+  /// A paused instance does nothing; what arrives waits until it goes on.
+  void pause(size_t Instance, bool Paused);
+  /// Replaces the instance by a fresh process of the same name.
+  void restart(size_t Instance);
+  /// Of a thousand messages between instances, how many are lost.
+  void setLoss(unsigned PerMille) { LossPerMille = PerMille; }
+
+  /// Accepts one more version and returns it.
+  uint64_t change();
+
+  /// The earliest time at which \p Version was accepted.
+  time acceptedAt(uint64_t Version) const { return Accepted.at(Version); }
+
+  uint64_t versionOf(size_t Instance) const;
+  bool servesKeyed(size_t Instance) const;
+  bool isPaused(size_t Instance) const { return Instances[Instance].Paused; }
+  /// Whether every running instance has \p Version in force.
+  bool allHave(uint64_t Version) const;
+
+  /// Times at which an instance put a lower version in force than before.
+  uint64_t reverts() const { return Reverts; }
+
+private:
+  struct instance {
+    std::string Name;
+    std::unique_ptr<config_follower> Follower;
+    uint64_t Incarnation = 0;
+    uint64_t Highest = 0;
+    bool Paused = false;
+    bool TableCut = false;
+    std::set<size_t> CutTo;
+    std::vector<std::function<void()>> Waiting;
+  };
+
+  void start(size_t Index);
+  void later(std::chrono::microseconds Delay, std::function<void()> Event);
+  void deliver(size_t Index, uint64_t Incarnation,
+               std::function<void(config_follower &)> Event);
+  void callTable(size_t Index, std::function<void(config_follower &)> Reached,
+                 std::function<void(config_follower &)> Failed);
+  void send(size_t From, const std::string &To, const config_message &Message);
+  std::chrono::microseconds delay();
+
+  std::mt19937_64 Random;
+  memory_platform Platform;
+  services Services;
+  time Now;
+  std::multimap<time, std::function<void()>> Events;
+  std::vector<instance> Instances;
+  std::map<uint64_t, time> Accepted;
+  unsigned LossPerMille = 0;
+  uint64_t Reverts = 0;
+};
+
+} // namespace magnolia::platform
