--- /dev/null
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -0,0 +1,175 @@
+#include "Magnoliad/Forwarder.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/notification.h>
+
+#include "Common/ErrorKind.h"
+#include "Magnoliad/Credentials.h"
+#include "Magnoliad/ForwardSession.h"
+
+namespace magnolia::daemon {
+namespace {
+
+using common::boot_clock;
+using common::boot_time;
+
+/// A hedge starts when this part of the recent answers was faster.
+constexpr double HedgeQuantile = 0.95;
+constexpr size_t LatencyWindow = 200;
+constexpr size_t MaxStreamedBodies = 256;
+
+bool hasBody(const forward_request &Request, const net::answer_head &Head) {
+  constexpr int NoContent = 204;
+  constexpr int NotModified = 304;
+  return Request.Head->Method != "HEAD" && Head.Status != NoContent &&
+         Head.Status != NotModified && Head.BodyLength != uint64_t{0};
+}
+
+net::upstream_request toUpstream(const forward_request &Request) {
+  net::upstream_request Upstream;
+  Upstream.Method = Request.Head->Method;
+  Upstream.Path = Request.Head->Target;
+  for (const auto &[Name, Value] : Request.Head->Headers)
+    if (mayReachTarget(Name))
+      Upstream.Headers.push_back({Name, Value});
+  if (!Request.Workspace.empty())
+    Upstream.Headers.push_back(
+        {std::string(WorkspaceHeader), Request.Workspace});
+  Upstream.RequestId = Request.RequestId;
+  Upstream.Body = Request.Body;
+  if (Request.Pipe) {
+    Upstream.ReadBody = [Pipe = Request.Pipe](absl::Span<char> Buffer) {
+      return Pipe->read(Buffer);
+    };
+    Upstream.BodyLength = Request.PipeLength;
+  }
+  Upstream.Deadline = Request.Deadline;
+  return Upstream;
+}
+
+bool sendBody(net::answer_stream &Stream, boot_time Deadline,
+              const http::byte_sink &Sink) {
+  while (true) {
+    const auto Chunk = Stream.readChunk(Deadline);
+    if (!Chunk.ok())
+      return false;
+    if (Chunk->empty())
+      return true;
+    if (!Sink(*Chunk))
+      return false;
+  }
+}
+
+} // namespace
+
+forwarder::forwarder(net::upstream_pool &Upstream,
+                     target::target_selector &Selector, queue_agent &Queues)
+    : Upstream(Upstream), Selector(Selector), Queues(Queues), Budgets({}),
+      Runners(MaxStreamedBodies) {}
+
+std::optional<std::chrono::microseconds>
+forwarder::hedgeDelay(const std::string &Service) {
+  return Latencies.withShardOf(
+      Service, [&](auto &Map) -> std::optional<std::chrono::microseconds> {
+        const auto Found = Map.find(Service);
+        if (Found == Map.end())
+          return std::nullopt;
+        return Found->second->estimate();
+      });
+}
+
+void forwarder::noteLatency(const std::string &Service,
+                            std::chrono::microseconds Latency) {
+  Latencies.withShardOf(Service, [&](auto &Map) {
+    latencies &Slot = Map[Service];
+    if (!Slot)
+      Slot = std::make_unique<request::latency_quantile>(HedgeQuantile,
+                                                         LatencyWindow);
+    Slot->add(Latency);
+  });
+}
+
+request::attempt_plan forwarder::makePlan(const forward_request &Request) {
+  const std::string &Service = Request.Service->Name;
+  request::request_traits Traits;
+  // A streamed body is gone once it was sent.
+  Traits.Repeatable = Request.Route->Repeatable && !Request.Pipe;
+  Traits.Deadline = Request.Deadline;
+  request::attempt_hooks Hooks;
+  Hooks.TrySpendRetry = [this, Service] { return Budgets.trySpend(Service); };
+  Hooks.HedgeDelay = [this, Service] { return hedgeDelay(Service); };
+  return {{}, Traits, std::move(Hooks)};
+}
+
+net::forward_result forwarder::run(net::forwarder &Forwarder,
+                                   const forward_request &Request) {
+  if (!Request.Pipe)
+    return Forwarder.run();
+  std::optional<net::forward_result> Result;
+  absl::Notification Done;
+  Runners.run([&] {
+    Result.emplace(Forwarder.run());
+    Request.Pipe->close();
+    Done.Notify();
+  });
+  Request.PumpBody();
+  Done.WaitForNotification();
+  return *std::move(Result);
+}
+
+absl::StatusOr<forward_answer>
+forwarder::forward(const forward_request &Request, const cancel_hook &OnCancel,
+                   forward_report &Report) {
+  const std::string &Service = Request.Service->Name;
+  const auto Turn = Queues.await(Service, Request.Workspace, Request.Deadline);
+  if (!Turn.ok())
+    return Turn.status();
+  const auto Session = std::make_shared<forward_session>(
+      Service, Selector, *Turn,
+      [this, Service](std::chrono::microseconds Latency) {
+        noteLatency(Service, Latency);
+      });
+  Budgets.earn(Service);
+
+  net::forward_hooks Hooks;
+  Hooks.Choose = [&](absl::Span<const std::string> Tried) {
+    return Session->choose(Tried, Request.Spend);
+  };
+  Hooks.Ended = [Session](const std::string &Target,
+                          const request::attempt_outcome &Outcome) {
+    Session->ended(Target, Outcome);
+  };
+  const auto Forwarder = std::make_shared<net::forwarder>(
+      Upstream, toUpstream(Request), makePlan(Request), std::move(Hooks));
+  OnCancel([Weak = std::weak_ptr<net::forwarder>(Forwarder)] {
+    if (const auto Live = Weak.lock())
+      Live->callerGone();
+  });
+
+  net::forward_result Result = run(*Forwarder, Request);
+  Report.Target = Result.Target;
+  Report.Attempts = Session->attempts();
+  if (!Result.Answer)
+    return common::makeError(
+        Result.Verdict.Error.value_or(common::error_kind::Internal),
+        Result.Detail);
+
+  forward_answer Answer;
+  Answer.Status = Result.Head.Status;
+  for (auto &[Name, Value] : Result.Head.Headers)
+    Answer.Headers.emplace_back(Name, Value);
+  Answer.BodyLength = Result.Head.BodyLength;
+  const auto Stream =
+      std::make_shared<net::answer_stream>(*std::move(Result.Answer));
+  OnCancel([Stream] { Stream->cancel(); });
+  const boot_time Deadline = Request.Deadline;
+  // Nothing asks for a body that is not there, yet the attempt's end counts.
+  if (!hasBody(Request, Result.Head))
+    sendBody(*Stream, Deadline, [](std::string_view) { return true; });
+  Answer.Produce = [Stream, Deadline](const http::byte_sink &Sink) {
+    return sendBody(*Stream, Deadline, Sink);
+  };
+  return Answer;
+}
+
+} // namespace magnolia::daemon
--- a/Source/UnitTests/Net/Peer/PeerTransportTest.cpp
+++ b/Source/UnitTests/Net/Peer/PeerTransportTest.cpp
@@ -8,6 +8,7 @@
 #include <absl/synchronization/mutex.h>
 #include <doctest/doctest.h>
 
+#include "Net/Peer/PeerSession.h"
 #include "RawSocket.h"
 
 using namespace magnolia;
@@ -75,6 +76,19 @@
   return *std::move(Transport);
 }
 
+/// Plays a server that acknowledges one message and then does nothing more.
+void answerOneMessage(const unique_fd &Raw) {
+  bool Arrived = false;
+  session_hooks Hooks;
+  Hooks.OnMessage = [&](const peer_message &) { Arrived = true; };
+  const auto Server = peer_session::makeServer({}, std::move(Hooks));
+  std::string Out;
+  while (!Arrived && Server->receive(readRaw(Raw)))
+    ;
+  Server->fill(Out, size_t{1024} * 1024);
+  writeRaw(Raw, Out);
+}
+
 } // namespace
 
 TEST_CASE("Two transports exchange messages") {
@@ -138,6 +152,25 @@
   }
 }
 
+TEST_CASE("A transport with a connection on which nothing happens sleeps") {
+  inbox Inbox;
+  const auto Sender = start("a", Inbox, quickOptions());
+  const auto Receiver = start("b", Inbox, quickOptions());
+  Sender->send(Receiver->localAddress(), "test", "hello");
+  REQUIRE(eventually([&] { return Inbox.size() == 1; }));
+  REQUIRE(Sender->flush(Limit));
+
+  // Some pings pass, each of which takes a few rounds of the loop.
+  constexpr uint64_t PingBytes = 17;
+  constexpr uint64_t Pings = 10;
+  constexpr uint64_t RoundsPerPing = 20;
+  const peer_counters Before = Sender->counters();
+  REQUIRE(eventually([&] {
+    return Sender->counters().BytesSent >= Before.BytesSent + Pings * PingBytes;
+  }));
+  CHECK(Sender->counters().Wakeups - Before.Wakeups < Pings * RoundsPerPing);
+}
+
 TEST_CASE("A transport is sent malformed addresses and names") {
   inbox Inbox;
   CHECK_FALSE(peer_transport::create("nowhere", "a", Inbox.hook()).ok());
@@ -235,3 +268,18 @@
   CHECK(Trnava->flush(Limit));
   CHECK(Trnava->counters().Sent == 0);
 }
+
+TEST_CASE("A peer that falls silent with nothing left to answer") {
+  std::string Address;
+  const unique_fd Listener = listenRaw(Address);
+  inbox Inbox;
+  const auto Trnava = start("trnava-1", Inbox, quickOptions());
+  Trnava->send(Address, "digest", "answered");
+  const unique_fd Raw = acceptRaw(Listener);
+  REQUIRE(Raw.valid());
+  answerOneMessage(Raw);
+  REQUIRE(eventually([&] { return Trnava->counters().Sent == 1; }));
+
+  CHECK(Trnava->lastHeard(Address).has_value());
+  CHECK(eventually([&] { return Trnava->counters().Reconnects > 0; }));
+}
