Serve the platform stand-in with the stand-ins' HTTP server

The plain library server waited up to its keep-alive timeout of 300 s for idle connections when it stopped: the test case in which nobody serves the platform hung.

--- a/Source/StandIns/Platform/Main.cpp
+++ b/Source/StandIns/Platform/Main.cpp
@@ -23,7 +23,7 @@
 struct process {
   settings Settings;
   platform::memory_platform Platform;
-  std::unique_ptr<standins::platform_server> Server;
+  std::unique_ptr<stand_ins::platform_server> Server;
 
   void read(common::yaml_section &Root) {
     Settings.Listen = Root.address("listen");
@@ -38,7 +38,8 @@
       Instances.push_back({Name, false});
     Platform.setInstances(std::move(Instances));
     Platform.setListLag(Settings.ListLag);
-    auto Created = standins::platform_server::create(Settings.Listen, Platform);
+    auto Created =
+        stand_ins::platform_server::create(Settings.Listen, Platform);
     if (!Created.ok())
       return Created.status();
     Server = *std::move(Created);
--- a/Source/StandIns/Platform/PlatformServer.cpp
+++ b/Source/StandIns/Platform/PlatformServer.cpp
@@ -1,15 +1,13 @@
 #include "StandIns/Platform/PlatformServer.h"
 
-#include <sys/socket.h>
-#include <thread>
-
 #include <absl/strings/str_cat.h>
 #include <httplib.h>
 
 #include "Common/YamlReader.h"
 #include "Net/Platform/WireCodec.h"
+#include "StandIns/Server/HttpServer.h"
 
-namespace magnolia::standins {
+namespace magnolia::stand_ins {
 namespace {
 
 using httplib::Request;
@@ -22,12 +20,6 @@
 constexpr char ReleasePath[] = "/admin/release";
 constexpr char ObjectPattern[] = "/objects/([0-9a-f]{64})";
 
-/// A connection holds a thread.
-constexpr size_t MaxConnections = 256;
-constexpr int ListenBacklog = 1024;
-constexpr size_t MaxRequestsPerConnection = 1'000'000'000;
-constexpr time_t IdleSeconds = 300;
-
 int httpStatus(const absl::Status &Status) {
   switch (Status.code()) {
   case absl::StatusCode::kOk:
@@ -45,16 +37,10 @@
   }
 }
 
-/// Sends a head that promises a byte and closes without it: the caller cannot
-/// know the outcome.
-void loseReply(Response &Answer) {
-  Answer.set_content_provider(
-      1, JsonType, [](size_t, size_t, httplib::DataSink &) { return false; });
-}
-
 void answer(Response &Answer, const absl::Status &Status) {
   if (absl::IsUnknown(Status)) {
-    loseReply(Answer);
+    // The caller's connection is closed without a byte of an answer.
+    http_server::current().Abandoned = true;
     return;
   }
   Answer.status = httpStatus(Status);
@@ -76,50 +62,24 @@
 public:
   explicit impl(platform::memory_platform &Platform)
       : Platform(Platform), Services(Platform.bind()) {
-    configure();
     routeTable();
     routeObjects();
     routeAdmin();
   }
 
-  ~impl() {
-    Server.stop();
-    if (Thread.joinable())
-      Thread.join();
-  }
+  ~impl() { Server.finish(); }
 
   absl::Status start(const std::string &Address) {
-    const size_t Colon = Address.rfind(':');
-    const std::string Host = Address.substr(0, Colon);
-    const int Wanted = std::stoi(Address.substr(Colon + 1));
-    if (Wanted == 0)
-      Port = Server.bind_to_any_port(Host);
-    else if (Server.bind_to_port(Host, Wanted))
-      Port = Wanted;
-    if (Port <= 0 || ::listen(Descriptor, ListenBacklog) != 0)
-      return absl::UnavailableError(absl::StrCat("cannot bind ", Address));
-    Thread = std::thread([this] { Server.listen_after_bind(); });
+    const auto Started = Server.start(Address);
+    if (!Started.ok())
+      return Started.status();
+    Port = *Started;
     return absl::OkStatus();
   }
 
   uint16_t port() const { return static_cast<uint16_t>(Port); }
 
 private:
-  void configure() {
-    // The library's own options would let a second process share the port.
-    Server.set_socket_options([this](socket_t Socket) {
-      Descriptor = Socket;
-      const int Yes = 1;
-      ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &Yes, sizeof(Yes));
-    });
-    Server.new_task_queue = [] {
-      return new httplib::ThreadPool(MaxConnections);
-    };
-    Server.set_tcp_nodelay(true);
-    Server.set_keep_alive_max_count(MaxRequestsPerConnection);
-    Server.set_keep_alive_timeout(IdleSeconds);
-  }
-
   void routeTable() {
     Server.Get(net::TableRowPath, [this](const Request &Call, Response &Reply) {
       const auto Row = Services.Table.Get(Call.get_param_value("key"));
@@ -178,10 +138,8 @@
 
   platform::memory_platform &Platform;
   const platform::services Services;
-  httplib::Server Server;
-  socket_t Descriptor = INVALID_SOCKET;
+  http_server Server;
   int Port = -1;
-  std::thread Thread;
 };
 
 absl::StatusOr<std::unique_ptr<platform_server>>
@@ -203,4 +161,4 @@
 
 uint16_t platform_server::port() const { return Impl->port(); }
 
-} // namespace magnolia::standins
+} // namespace magnolia::stand_ins
--- a/Source/StandIns/Platform/PlatformServer.h
+++ b/Source/StandIns/Platform/PlatformServer.h
@@ -10,7 +10,7 @@
 
 /// Small stand-in for the platform: a memory_platform behind HTTP, with paths
 /// to set its faults.
-namespace magnolia::standins {
+namespace magnolia::stand_ins {
 
 /// Serves a memory_platform until it is destroyed.
 class platform_server {
@@ -32,4 +32,4 @@
   std::unique_ptr<impl> Impl;
 };
 
-} // namespace magnolia::standins
+} // namespace magnolia::stand_ins
--- a/Source/UnitTests/Net/Platform/PlatformClientTest.cpp
+++ b/Source/UnitTests/Net/Platform/PlatformClientTest.cpp
@@ -18,7 +18,7 @@
 
 TEST_CASE("The platform over HTTP") {
   platform::memory_platform Platform;
-  auto Server = standins::platform_server::create("127.0.0.1:0", Platform);
+  auto Server = stand_ins::platform_server::create("127.0.0.1:0", Platform);
   REQUIRE(Server.ok());
   net::platform_client_options Options;
   Options.Address = absl::StrCat("127.0.0.1:", (*Server)->port());
