--- a/Source/Core/Quota/Account.cpp
+++ b/Source/Core/Quota/Account.cpp
@@ -208,9 +208,9 @@
 }
 
 void account::progress(const account_context &Context, effects &Out) {
-  serveWaiting(Context, Out);
   for (const auto &Overdue : Gathering.takeOverdue(Context.Now.Boot))
     Out.Resolved.push_back({Overdue.Ticket, refusalNow(Context)});
+  serveWaiting(Context, Out);
   if (!Gathering.hasOpenQuestions() && Gathering.hasWaiting()) {
     askHomes(Context, Out);
     if (!Gathering.hasOpenQuestions())
--- a/Source/UnitTests/Quota/FakeFleet.cpp
+++ b/Source/UnitTests/Quota/FakeFleet.cpp
@@ -16,7 +16,7 @@
 fake_fleet::fake_fleet(fleet_options Options)
     : Options(Options), Random(Options.Seed) {
   Table.Fault = [this] {
-    if (chance(this->Options.TableRefused))
+    if (Instances[TableCaller]->TableDown || chance(this->Options.TableRefused))
       return table_fault::Refused;
     return chance(this->Options.AnswerLost) ? table_fault::AnswerLost
                                             : table_fault::None;
@@ -131,6 +131,7 @@
 
 void fake_fleet::stop(size_t Index) {
   fake_instance &Instance = *Instances[Index];
+  TableCaller = Index;
   Instance.Gate->release(clockOf(Index));
   Instance.Keeper->release(clockOf(Index)).IgnoreError();
   crash(Index);
@@ -154,11 +155,16 @@
     return;
   const instant Clock = clockOf(Index);
   if ((Now / Tick + static_cast<int64_t>(Index)) % KeeperTicks == 0)
-    Instance.Keeper->step(Clock, live()).IgnoreError();
+    stepKeeper(Index);
   Instance.Gate->advance(Clock);
   spendQueued(Index);
 }
 
+void fake_fleet::stepKeeper(size_t Index) {
+  TableCaller = Index;
+  Instances[Index]->Keeper->step(clockOf(Index), live()).IgnoreError();
+}
+
 void fake_fleet::send(size_t From, const std::string &Peer,
                       const message &Message) {
   const auto To = std::find_if(
--- a/Source/UnitTests/Quota/FakeFleet.h
+++ b/Source/UnitTests/Quota/FakeFleet.h
@@ -47,7 +47,8 @@
   bool Running = false;
   /// A suspended process does nothing but its clocks run on.
   bool Suspended = false;
-  bool CutOff = false;
+  /// The table refuses this instance's calls.
+  bool TableDown = false;
   std::unique_ptr<rate_gate> Gate;
   std::unique_ptr<share_keeper> Keeper;
   share_view_ptr Shares;
@@ -114,6 +115,7 @@
   void send(size_t From, const std::string &Peer, const message &Message);
   void deliver();
   void tick(size_t Index);
+  void stepKeeper(size_t Index);
   void use(size_t Index, permit Permit);
   void spend(size_t Index, const permit &Permit);
   void spendQueued(size_t Index);
@@ -123,6 +125,8 @@
   std::mt19937_64 Random;
   fake_table Table;
   true_time Now{std::chrono::hours(1)};
+  /// Whose calls reach the table now.
+  size_t TableCaller = 0;
   uint64_t NextOrder = 0;
   std::vector<std::unique_ptr<fake_instance>> Instances;
   std::vector<contract::workspace> Workspaces;
--- a/Source/UnitTests/Quota/FleetTest.cpp
+++ b/Source/UnitTests/Quota/FleetTest.cpp
@@ -16,6 +16,8 @@
 constexpr double SlowBurst = 3;
 constexpr double FastRate = 300;
 constexpr double FastBurst = 40;
+constexpr double BurstyRate = 10;
+constexpr double BurstyBurst = 40;
 
 /// Several times the rate, at random instances or at one that changes.
 void overload(fake_fleet &Fleet) {
@@ -26,13 +28,20 @@
   };
   if (Fleet.chance(0.2))
     Fleet.request(Pick(), "slow");
+  if (Fleet.chance(0.1))
+    Fleet.request(Pick(), "bursty");
   for (int Count = 0; Count < 2; ++Count)
     Fleet.request(Pick(), "fast");
 }
 
+std::vector<contract::workspace> workspaces(double Factor) {
+  return {{"slow", SlowRate * Factor, SlowBurst * Factor},
+          {"fast", FastRate * Factor, FastBurst * Factor},
+          {"bursty", BurstyRate * Factor, BurstyBurst * Factor}};
+}
+
 void startAll(fake_fleet &Fleet) {
-  Fleet.setWorkspaces(
-      {{"slow", SlowRate, SlowBurst}, {"fast", FastRate, FastBurst}});
+  Fleet.setWorkspaces(workspaces(1));
   for (size_t Index = 0; Index < Fleet.size(); ++Index)
     Fleet.start(Index);
 }
@@ -84,6 +93,27 @@
     Event = crashOrRestart;
   }
 
+  SUBCASE("with planned stops while loans run long") {
+    Options.LoanTerm = milliseconds(2000);
+    Options.RefreshPeriod = milliseconds(50);
+    Event = [](fake_fleet &Fleet, size_t Index) {
+      if (!Fleet.at(Index).Running)
+        Fleet.start(Index);
+      else if (Fleet.chance(0.3))
+        Fleet.stop(Index);
+    };
+  }
+
+  SUBCASE("with instances that lose the table past their terms") {
+    Options.LeaseTerm = milliseconds(600);
+    Options.RenewPeriod = milliseconds(100);
+    Options.RefreshPeriod = milliseconds(20);
+    Options.LoanTerm = milliseconds(200);
+    Event = [](fake_fleet &Fleet, size_t Index) {
+      Fleet.at(Index).TableDown = !Fleet.at(Index).TableDown;
+    };
+  }
+
   SUBCASE("with processes suspended past their terms") {
     Options.LeaseTerm = milliseconds(700);
     Options.RenewPeriod = milliseconds(100);
@@ -103,9 +133,7 @@
 
   SUBCASE("while rates change, up to the larger of the two") {
     Event = [](fake_fleet &Fleet, size_t Index) {
-      const double Factor = Index % 2 == 0 ? 1 : 0.3;
-      Fleet.setWorkspaces({{"slow", SlowRate * Factor, SlowBurst * Factor},
-                           {"fast", FastRate * Factor, FastBurst * Factor}});
+      Fleet.setWorkspaces(workspaces(Index % 2 == 0 ? 1 : 0.3));
     };
   }
 
@@ -136,9 +164,26 @@
     CHECK(Fleet.written("fast").size() > 0);
     CHECK(Fleet.worstExcess("slow", SlowRate, SlowBurst) <= 0);
     CHECK(Fleet.worstExcess("fast", FastRate, FastBurst) <= 0);
+    CHECK(Fleet.worstExcess("bursty", BurstyRate, BurstyBurst) <= 0);
   }
 }
 
+TEST_CASE("A fleet whose clocks run fast") {
+  fleet_options Options;
+  Options.Instances = 1;
+  bool Told = true;
+  SUBCASE("keeps the bound when it is told so") {}
+  SUBCASE("breaks it when it is told of perfect clocks") { Told = false; }
+  if (!Told)
+    Options.ClockDrift = 0;
+  fake_fleet Fleet(Options);
+  for (size_t Index = 0; Index < Fleet.size(); ++Index)
+    Fleet.at(Index).Speed = 1 + Options.TrueDrift;
+  startAll(Fleet);
+  Fleet.run(RunLength, [&] { overload(Fleet); });
+  CHECK((Fleet.worstExcess("fast", FastRate, FastBurst) <= 0) == Told);
+}
+
 TEST_CASE("A fleet without faults uses most of the rate") {
   fake_fleet Fleet(fleet_options{});
   startAll(Fleet);
--- a/Source/UnitTests/Quota/GateTest.cpp
+++ b/Source/UnitTests/Quota/GateTest.cpp
@@ -92,6 +92,22 @@
     CHECK_FALSE(Home.Gate->spend(Permit, at(1600)));
   }
 
+  SUBCASE("still lacks what it lent after it lost a part of its shares") {
+    share_view View;
+    View.SlotCount = 2;
+    View.Partitions.resize(1);
+    View.Partitions[0].Held = 2;
+    Home.Gate->setShares(std::make_shared<share_view>(View), at(0));
+    Home.Gate->handleMessage(
+        "there", loan_request{{5, 1}, "gloves", 8 * OneToken, 0}, at(1000));
+    View.Partitions[0].Held = 1;
+    View.Partitions[0].LostAt = at(1100).Boot;
+    Home.Gate->setShares(std::make_shared<share_view>(View), at(1100));
+    CHECK_FALSE(std::holds_alternative<permit>(Home.admit(1900)));
+    Home.Gate->advance(at(2000));
+    CHECK(std::holds_alternative<permit>(Home.admit(2100)));
+  }
+
   SUBCASE("answers a duplicated request with the same loan") {
     loan_request Request{{5, 1}, "gloves", OneToken, 0};
     Home.Gate->handleMessage("there", Request, at(1000));
