--- a/Source/Net/Upstream/HttpExchange.cpp
+++ b/Source/Net/Upstream/HttpExchange.cpp
@@ -99,7 +99,8 @@
     return takeBody({Bytes, Size});
   };
   bool Whole = Client.exchange(Stream, Wire, Response);
-  HeadStarted = Connection.bytesRead() > 0;
+  HeadStarted = Stream.headStarted();
+  WrittenTime = Stream.firstRead();
   if (!Stream.headFault().empty())
     return fail(error_kind::TargetBroken, Stream.headFault());
   // cpp-httplib calls no handler for answers that never have a body.
--- a/Source/Net/Upstream/SocketStream.cpp
+++ b/Source/Net/Upstream/SocketStream.cpp
@@ -39,6 +39,8 @@
 ssize_t socket_stream::read(char *Bytes, size_t Size) {
   if (Size == 0)
     return 0;
+  if (!FirstRead)
+    FirstRead = common::boot_clock::now();
   return HeadComplete ? readBody(Bytes, Size) : readHeadByte(Bytes);
 }
 
--- a/Source/Net/Upstream/SocketStream.h
+++ b/Source/Net/Upstream/SocketStream.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -31,6 +32,13 @@
   /// Why the head was refused; empty when it was not.
   std::string_view headFault() const { return HeadFault; }
 
+  /// When the answer was first waited for, which is when the whole request had
+  /// been written.
+  std::optional<common::boot_time> firstRead() const { return FirstRead; }
+
+  /// Whether a byte of the answer has come.
+  bool headStarted() const { return HeadSize > 0; }
+
   /// Whether the whole head was read.
   bool headComplete() const { return HeadComplete; }
 
@@ -59,6 +67,7 @@
 
   bool HeadComplete = false;
   std::string_view HeadFault;
+  std::optional<common::boot_time> FirstRead;
   size_t HeadSize = 0;
   size_t LineSize = 0;
   bool InStatusLine = true;
