Detect gray targets by cumulative sums; model the curve of detection

Time-weighted fault rates and mean latencies were diluted by the healthy past: least-loaded choice sends a gray target few requests, so its past outweighs them.

Suspicion is compared with the service's median, so that a common slowdown marks nothing.

--- a/Source/Core/Target/Digest.cpp
+++ b/Source/Core/Target/Digest.cpp
@@ -23,8 +23,8 @@
   return json::array({Report.Service, Report.Target, toHundredths(Sums.Weight),
                       toHundredths(Sums.Faults), toHundredths(Sums.Answers),
                       toHundredths(Sums.LogLatencySum),
-                      Report.Drain.Incarnation, Report.Drain.Sequence,
-                      Report.Drain.Draining});
+                      toHundredths(Sums.Suspicion), Report.Drain.Incarnation,
+                      Report.Drain.Sequence, Report.Drain.Draining});
 }
 
 target_report reportFrom(const json &Value) {
@@ -32,9 +32,10 @@
   Report.Service = Value.at(0).get<std::string>();
   Report.Target = Value.at(1).get<std::string>();
   Report.Evidence = {fromHundredths(Value.at(2)), fromHundredths(Value.at(3)),
-                     fromHundredths(Value.at(4)), fromHundredths(Value.at(5))};
-  Report.Drain = {Value.at(6).get<uint64_t>(), Value.at(7).get<uint64_t>(),
-                  Value.at(8).get<bool>()};
+                     fromHundredths(Value.at(4)), fromHundredths(Value.at(5)),
+                     fromHundredths(Value.at(6))};
+  Report.Drain = {Value.at(7).get<uint64_t>(), Value.at(8).get<uint64_t>(),
+                  Value.at(9).get<bool>()};
   return Report;
 }
 
--- a/Source/Core/Target/Evidence.cpp
+++ b/Source/Core/Target/Evidence.cpp
@@ -10,6 +10,12 @@
 /// Crossed answers harm more than failed ones.
 constexpr double MismatchWeight = 3;
 
+/// One very slow answer is no more than this.
+constexpr double LargestLogRatio = 3;
+
+/// Largest suspicion as a multiple of the threshold.
+constexpr double LargestSuspicion = 4;
+
 constexpr std::array<std::string_view, static_cast<size_t>(outcome::Count)>
     OutcomeNames = {"success",     "error",       "stall",
                     "half_answer", "unreachable", "refused_not_run",
@@ -17,7 +23,7 @@
 
 evidence_summary scaled(const evidence_summary &Sums, double Factor) {
   return {Sums.Weight * Factor, Sums.Faults * Factor, Sums.Answers * Factor,
-          Sums.LogLatencySum * Factor};
+          Sums.LogLatencySum * Factor, Sums.Suspicion * Factor};
 }
 
 double logMicros(duration Latency) {
@@ -27,21 +33,42 @@
 evidence_summary summaryOf(outcome Outcome, duration Latency) {
   switch (Outcome) {
   case outcome::Success:
-    return {1, 0, 1, logMicros(Latency)};
+    return {1, 0, 1, logMicros(Latency), 0};
   case outcome::RefusedNotRun:
   case outcome::Count:
     return {};
   case outcome::Mismatched:
-    return {MismatchWeight, MismatchWeight, 0, 0};
+    return {MismatchWeight, MismatchWeight, 0, 0, 0};
   case outcome::Error:
   case outcome::Stall:
   case outcome::HalfAnswer:
   case outcome::Unreachable:
-    return {1, 1, 0, 0};
+    return {1, 1, 0, 0, 0};
   }
   return {};
 }
 
+/// What one fault adds to suspicion: at the limit rate of faults it outweighs
+/// what the other requests take away.
+double faultGain(const settings &Settings) {
+  return std::log(Settings.LatencyRatio) * (1 - Settings.FaultRate) /
+         Settings.FaultRate;
+}
+
+/// What one answer adds to suspicion, or takes away from it.
+double answerGain(duration Latency, duration Median, const settings &Settings) {
+  const double Expected = std::log(Settings.LatencyRatio);
+  if (Median == duration::zero() || Latency < Median + Settings.LatencyExcess)
+    return -Expected;
+  return std::min(logMicros(Latency) - logMicros(Median), LargestLogRatio) -
+         Expected;
+}
+
+/// Bounds suspicion so that a recovered target is trusted in finite time.
+double clampSuspicion(double Suspicion, const settings &Settings) {
+  return std::clamp(Suspicion, 0.0, LargestSuspicion * Settings.Threshold);
+}
+
 } // namespace
 
 std::string_view nameOf(outcome Outcome) {
@@ -53,6 +80,7 @@
   Faults += Other.Faults;
   Answers += Other.Answers;
   LogLatencySum += Other.LogLatencySum;
+  Suspicion += Other.Suspicion;
 }
 
 double evidence::decayUntil(boot_time Now, const settings &Settings) const {
@@ -62,11 +90,16 @@
   return std::exp2(-Age / static_cast<double>(Settings.HalfLife.count()));
 }
 
-void evidence::observe(outcome Outcome, duration Latency, boot_time Now,
-                       const settings &Settings) {
+void evidence::observe(outcome Outcome, duration Latency, duration Median,
+                       boot_time Now, const settings &Settings) {
   Sums = scaled(Sums, decayUntil(Now, Settings));
   Updated = std::max(Updated, Now);
-  Sums.add(summaryOf(Outcome, Latency));
+  const evidence_summary Attempt = summaryOf(Outcome, Latency);
+  Sums.add(Attempt);
+  Sums.Suspicion += Attempt.Faults * faultGain(Settings);
+  if (Outcome == outcome::Success)
+    Sums.Suspicion += answerGain(Latency, Median, Settings);
+  Sums.Suspicion = clampSuspicion(Sums.Suspicion, Settings);
 }
 
 evidence_summary evidence::summarize(uint32_t Stalled, boot_time Now,
@@ -74,6 +107,8 @@
   evidence_summary Summary = scaled(Sums, decayUntil(Now, Settings));
   Summary.Weight += Stalled;
   Summary.Faults += Stalled;
+  Summary.Suspicion = clampSuspicion(
+      Summary.Suspicion + Stalled * faultGain(Settings), Settings);
   return Summary;
 }
 
--- a/Source/Core/Target/Evidence.h
+++ b/Source/Core/Target/Evidence.h
@@ -39,6 +39,10 @@
   double Answers = 0;
   /// Sum of the natural logarithms of those latencies in microseconds.
   double LogLatencySum = 0;
+  /// Cumulative sum of what speaks against the target, less what speaks for
+  /// it; never below zero. Unlike the other sums it is not diluted by how long
+  /// the target was healthy before, so that it detects a change soon.
+  double Suspicion = 0;
 
   void add(const evidence_summary &Other);
   double faultRate() const { return Weight > 0 ? Faults / Weight : 0; }
@@ -51,9 +55,10 @@
 /// Exponentially weighted observations of one target by one instance.
 class evidence {
 public:
-  /// Takes the end of one attempt. Busy refusals are no evidence of a fault.
-  void observe(outcome Outcome, duration Latency, boot_time Now,
-               const settings &Settings);
+  /// Takes the end of one attempt at a target of a service with \p Median
+  /// latency. Busy refusals are no evidence of a fault.
+  void observe(outcome Outcome, duration Latency, duration Median,
+               boot_time Now, const settings &Settings);
 
   /// The sums as of \p Now; \p Stalled requests in flight count as failed.
   evidence_summary summarize(uint32_t Stalled, boot_time Now,
--- a/Source/Core/Target/FleetView.cpp
+++ b/Source/Core/Target/FleetView.cpp
@@ -13,9 +13,12 @@
 
 /// Failure domains that must agree before a target counts as bad.
 constexpr size_t DomainsToAgree = 2;
+/// The sum over a failure domain's observers must exceed the threshold of one
+/// by this factor, since one event raises the suspicion of several.
+constexpr double SumThreshold = 1.5;
 
 /// Evidence of one failure domain: per target the sum over its observers but
-/// the one that saw most faults, whose own link may be at fault. The
+/// the most suspicious one, whose own link may be at fault. The
 /// observation of a single observer is taken as it is.
 std::vector<evidence_summary>
 sumWithoutWorst(const std::vector<summaries> &Observers, size_t TargetCount) {
@@ -25,8 +28,9 @@
     for (const summaries &Observer : Observers)
       if (Observer[Target].Weight > 0)
         Seen.push_back(Observer[Target]);
-    std::sort(Seen.begin(), Seen.end(),
-              [](const auto &A, const auto &B) { return A.Faults < B.Faults; });
+    std::sort(Seen.begin(), Seen.end(), [](const auto &A, const auto &B) {
+      return A.Suspicion < B.Suspicion;
+    });
     if (Seen.size() > 1)
       Seen.pop_back();
     for (const evidence_summary &Each : Seen)
@@ -44,12 +48,12 @@
 
 void addVotes(const std::vector<evidence_summary> &Sums,
               const settings &Settings, std::vector<votes> &Votes) {
-  const std::vector<double> Scores = outlierScores(Sums, Settings);
+  target::settings SumSettings = Settings;
+  SumSettings.Threshold *= SumThreshold;
+  const std::vector<double> Scores = outlierScores(Sums, SumSettings);
   for (size_t Target = 0; Target < Votes.size(); ++Target) {
-    if (Sums[Target].Weight < Settings.MinimumWeight)
-      continue;
     if (Scores[Target] < 1) {
-      ++Votes[Target].Good;
+      Votes[Target].Good += Sums[Target].Weight >= Settings.MinimumWeight;
       continue;
     }
     ++Votes[Target].Bad;
--- a/Source/Core/Target/Outlier.cpp
+++ b/Source/Core/Target/Outlier.cpp
@@ -6,9 +6,9 @@
 namespace magnolia::target {
 namespace {
 
-/// Standard deviation of the logarithm of one latency, that of an exponential
-/// distribution.
-constexpr double LogLatencySpread = 1.28;
+/// An outlier's suspicion exceeds the median's by this factor, so that chance
+/// differences in a common slowdown mark none.
+constexpr double CommonShare = 2;
 
 /// The lower median, so that of two targets the better one is the norm.
 double lowerMedian(std::vector<double> Values) {
@@ -20,12 +20,12 @@
   return *Middle;
 }
 
-double medianFaultRate(absl::Span<const evidence_summary> Targets) {
-  std::vector<double> Rates;
+double medianSuspicion(absl::Span<const evidence_summary> Targets) {
+  std::vector<double> Values;
   for (const evidence_summary &Target : Targets)
     if (Target.Weight > 0)
-      Rates.push_back(Target.faultRate());
-  return lowerMedian(std::move(Rates));
+      Values.push_back(Target.Suspicion);
+  return lowerMedian(std::move(Values));
 }
 
 double medianLogLatency(absl::Span<const evidence_summary> Targets) {
@@ -36,41 +36,16 @@
   return lowerMedian(std::move(Latencies));
 }
 
-double faultScore(const evidence_summary &Target, double Median,
-                  const settings &Settings) {
-  const double Expected = Median * Target.Weight;
-  const double Certain =
-      Target.Faults - Settings.Confidence * std::sqrt(Expected + 1);
-  const double Threshold = (Median + Settings.FaultRate) * Target.Weight;
-  return Threshold > 0 ? Certain / Threshold : 0;
-}
-
-double latencyScore(const evidence_summary &Target, double Median,
-                    const settings &Settings) {
-  if (Target.Answers <= 0)
-    return 0;
-  const double Mean = Target.meanLogLatency();
-  const double Excess = std::exp(Mean) - std::exp(Median);
-  if (Excess < static_cast<double>(Settings.LatencyExcess.count()))
-    return 0;
-  const double Error =
-      Settings.Confidence * LogLatencySpread / std::sqrt(Target.Answers);
-  return std::exp(Mean - Median - Error) / Settings.LatencyRatio;
-}
-
 } // namespace
 
 std::vector<double> outlierScores(absl::Span<const evidence_summary> Targets,
                                   const settings &Settings) {
-  const double FaultMedian = medianFaultRate(Targets);
-  const double LatencyMedian = medianLogLatency(Targets);
-  std::vector<double> Scores(Targets.size(), 0);
-  for (size_t I = 0; I < Targets.size(); ++I) {
-    if (Targets[I].Weight < Settings.MinimumWeight)
-      continue;
-    Scores[I] = std::max(faultScore(Targets[I], FaultMedian, Settings),
-                         latencyScore(Targets[I], LatencyMedian, Settings));
-  }
+  // What most targets suffer together moves the mark for all of them.
+  const double Common = CommonShare * medianSuspicion(Targets);
+  std::vector<double> Scores;
+  Scores.reserve(Targets.size());
+  for (const evidence_summary &Target : Targets)
+    Scores.push_back((Target.Suspicion - Common) / Settings.Threshold);
   return Scores;
 }
 
--- a/Source/Core/Target/ServiceState.cpp
+++ b/Source/Core/Target/ServiceState.cpp
@@ -17,11 +17,13 @@
 /// Reports without weight and drain mark tell peers nothing.
 constexpr double LeastReportedWeight = 0.5;
 
+/// Less than one fault adds to suspicion.
+constexpr double ReturnThreshold = 3;
+
 /// How many requests a return may cost: one fault or a few slow answers end it.
 settings strictForReturn(const settings &Settings) {
   settings Strict = Settings;
-  Strict.Confidence = 0.5;
-  Strict.MinimumWeight = 0.9;
+  Strict.Threshold = std::min(Strict.Threshold, ReturnThreshold);
   return Strict;
 }
 
@@ -125,8 +127,8 @@
   if (Target == nullptr || Target->config().Address != Choice.Address)
     return;
   const boot_time Begun = Target->end(Choice.Attempt, boot_time::min());
-  Target->observe(Observation.Outcome, Observation.Latency, Begun, Now,
-                  Settings);
+  Target->observe(Observation.Outcome, Observation.Latency, MedianLatency,
+                  Begun, Now, Settings);
   if (Observation.Drain)
     Target->reportDrain(Observation.Drain->Draining,
                         Observation.Drain->Incarnation, Begun, Now);
--- a/Source/Core/Target/Settings.cpp
+++ b/Source/Core/Target/Settings.cpp
@@ -4,13 +4,13 @@
 
 settings settings::fewFalseEjections() {
   settings Settings;
-  Settings.Confidence = 4.5;
+  Settings.Threshold = 15;
   return Settings;
 }
 
 settings settings::fastDetection() {
   settings Settings;
-  Settings.Confidence = 3.0;
+  Settings.Threshold = 7;
   return Settings;
 }
 
--- a/Source/Core/Target/Settings.h
+++ b/Source/Core/Target/Settings.h
@@ -16,16 +16,17 @@
 struct settings {
   /// Age at which an observation counts half.
   duration HalfLife = std::chrono::seconds(8);
-  /// Standard deviations by which evidence must exceed a threshold.
-  double Confidence = 3.0;
-  /// A target is slow above this multiple of its service's median latency.
+  /// Suspicion at which a target is an outlier: the point on the curve of
+  /// detection time against false ejections. See evidence_summary.
+  double Threshold = 10;
+  /// Answers that are slower than this multiple of the service's median
+  /// latency raise suspicion, others lower it.
   double LatencyRatio = 2.5;
   /// Least difference to the median latency that counts as slow.
   duration LatencyExcess = std::chrono::milliseconds(5);
-  /// A target is broken when this part of its requests fails beyond the
-  /// median of its service.
+  /// Suspicion rises in the long run when a larger part of requests fails.
   double FaultRate = 0.2;
-  /// Observations below this weight decide nothing.
+  /// A failure domain that saw fewer attempts does not vouch for a target.
   double MinimumWeight = 4;
   /// An unanswered request counts as a stall at this age at the earliest ...
   duration StallAge = std::chrono::milliseconds(400);
--- a/Source/Core/Target/TargetState.cpp
+++ b/Source/Core/Target/TargetState.cpp
@@ -75,13 +75,14 @@
       }));
 }
 
-void target_state::observe(outcome Outcome, duration Latency, boot_time Begun,
-                           boot_time Now, const settings &Settings) {
+void target_state::observe(outcome Outcome, duration Latency, duration Median,
+                           boot_time Begun, boot_time Now,
+                           const settings &Settings) {
   if (Outcome == outcome::RefusedNotRun)
     BusyUntil = Now + Settings.BusyHold;
   if (Begun < EvidenceFrom)
     return;
-  Evidence.observe(Outcome, Latency, Now, Settings);
+  Evidence.observe(Outcome, Latency, Median, Now, Settings);
   if (Outcome == outcome::Success && Phase == standing::Returning)
     ++AnswersSinceReturn;
 }
--- a/Source/Core/Target/TargetState.h
+++ b/Source/Core/Target/TargetState.h
@@ -75,8 +75,8 @@
   uint32_t stalled(duration StallAge, boot_time Now) const;
 
   /// The end of one attempt begun at \p Begun.
-  void observe(outcome Outcome, duration Latency, boot_time Begun,
-               boot_time Now, const settings &Settings);
+  void observe(outcome Outcome, duration Latency, duration Median,
+               boot_time Begun, boot_time Now, const settings &Settings);
   void reportLoad(double Reported) { Load = Reported; }
   void reportDrain(bool IsDraining, uint64_t Incarnation, boot_time Begun,
                    boot_time Now);
--- a/Source/UnitTests/Target/DigestTest.cpp
+++ b/Source/UnitTests/Target/DigestTest.cpp
@@ -12,7 +12,7 @@
   Digest.FailureDomain = "Howrah";
   Digest.Stamp = boot_time(seconds(9));
   Digest.Echoes = {{"b", 4, boot_time(seconds(8))}};
-  Digest.Reports = {{"orders", "t1", {12.25, 3, 9, 80.5}, {5, 2, true}}};
+  Digest.Reports = {{"orders", "t1", {12.25, 3, 9, 80.5, 2.5}, {5, 2, true}}};
   Digest.Ejections = {{"orders", seconds(3), {"t2", "t1"}}};
 
   SUBCASE("comes back whole from its CBOR form") {
@@ -26,6 +26,7 @@
     CHECK(Read->Echoes[0].Stamp == Digest.Echoes[0].Stamp);
     REQUIRE(Read->Reports.size() == 1);
     CHECK(Read->Reports[0].Evidence.Weight == doctest::Approx(12.25));
+    CHECK(Read->Reports[0].Evidence.Suspicion == doctest::Approx(2.5));
     CHECK(Read->Reports[0].Drain == Digest.Reports[0].Drain);
     REQUIRE(Read->Ejections.size() == 1);
     CHECK(Read->Ejections[0].Term == seconds(3));
--- a/Source/UnitTests/Target/FleetViewTest.cpp
+++ b/Source/UnitTests/Target/FleetViewTest.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-const evidence_summary Good{20, 0, 20, 20 * 10.0};
-const evidence_summary Bad{20, 20, 0, 0};
+const evidence_summary Good{20, 0, 20, 20 * 10.0, 0};
+const evidence_summary Bad{20, 20, 0, 0, 30};
 
 /// Six targets of which the one numbered \p BadTarget fails.
 std::vector<evidence_summary> seen(size_t BadTarget) {
