--- a/Source/Magnoliad/NodeImpl.h
+++ b/Source/Magnoliad/NodeImpl.h
@@ -79,6 +79,7 @@
   std::unique_ptr<admin_pages> Admin;
   std::unique_ptr<http::http_server> Callers;
   std::atomic<bool> Leaving{false};
+  std::atomic<bool> RatesReady{false};
   common::timer_service Timers;
   // Run jobs and timers that use all of the above, so they end first.
   std::unique_ptr<background> Background;
--- a/Source/Magnoliad/NodeRun.cpp
+++ b/Source/Magnoliad/NodeRun.cpp
@@ -22,7 +22,6 @@
 constexpr milliseconds DigestPeriod{250};
 constexpr milliseconds LeasePeriod{1000};
 constexpr milliseconds SharePeriod{500};
-constexpr milliseconds SettleTime{1500};
 constexpr milliseconds TablePeriod{1000};
 constexpr milliseconds IdlePeriod{1000};
 constexpr milliseconds ClaimSweepPeriod{10'000};
@@ -83,11 +82,13 @@
 
 void node::impl::stepRates() {
   // Instances that start together see one another before they divide rights.
-  if (Leaving || boot_clock::now() < Started + SettleTime)
+  if (Leaving || boot_clock::now() < Started + Settings.Rates.Settle)
     return;
   const absl::Status Status =
       Rates->step(Members->candidates(boot_clock::now()));
-  if (!Status.ok())
+  if (Status.ok())
+    RatesReady = true;
+  else
     common::log(log_level::Debug, Room, "shares could not be looked after",
                 {{"detail", std::string(Status.message())}});
 }
@@ -128,6 +129,8 @@
       return "the instance is leaving";
     if (!Config->snapshot())
       return "no configuration yet";
+    if (!RatesReady)
+      return "the shares of rates are not known yet";
     return Config->isFresh() ? "" : "cut off from news of the configuration";
   };
   Hooks.Status = [this] { return statusJson(); };
--- a/Source/Magnoliad/RateAgent.cpp
+++ b/Source/Magnoliad/RateAgent.cpp
@@ -32,6 +32,9 @@
   Options.Process = Process;
   // The peer port is bound without sharing and held until the last spending.
   Options.BoundExclusively = true;
+  Options.LeaseTerm = Settings.Rates.LeaseTerm;
+  Options.LoanTerm = Settings.Rates.LoanTerm;
+  Options.ClockSkew = Settings.Rates.ClockSkew;
   return Options;
 }
 
@@ -56,6 +59,7 @@
   quota::gate_options GateOptions;
   GateOptions.Self = Settings.Identity.Name;
   GateOptions.Process = common::stableHash(Process);
+  GateOptions.LoanTerm = Settings.Rates.LoanTerm;
   quota::gate_hooks GateHooks;
   GateHooks.Send = [Raw](const std::string &Peer,
                          const quota::message &Message) {
--- a/Source/Magnoliad/Settings.cpp
+++ b/Source/Magnoliad/Settings.cpp
@@ -71,6 +71,18 @@
   return Follow;
 }
 
+rate_settings readRates(common::yaml_section &Root) {
+  const rate_settings Defaults;
+  rate_settings Rates;
+  common::yaml_section Section = Root.section("rates");
+  Rates.LeaseTerm = readMilliseconds(Section, "lease_term", Defaults.LeaseTerm);
+  Rates.LoanTerm = readMilliseconds(Section, "loan_term", Defaults.LoanTerm);
+  Rates.Settle = readMilliseconds(Section, "settle", Defaults.Settle);
+  Rates.ClockSkew = readMilliseconds(Section, "clock_skew", Defaults.ClockSkew);
+  Section.finish();
+  return Rates;
+}
+
 directory_settings readDirectory(common::yaml_section &Root) {
   directory_settings Directory;
   common::yaml_section Section = Root.section("directory");
@@ -99,6 +111,7 @@
   Settings.Limits = readLimits(Root);
   Settings.Directory = readDirectory(Root);
   Settings.Follow = readFollow(Root);
+  Settings.Rates = readRates(Root);
   Settings.Targets = readTargets(Root);
   Settings.RequestLog = Root.boolean("request_log", Settings.RequestLog);
   return Settings;
--- a/Source/Magnoliad/Settings.h
+++ b/Source/Magnoliad/Settings.h
@@ -51,6 +51,18 @@
   milliseconds PlatformTimeout{2000};
 };
 
+/// Terms of the rights to rate and burst.
+struct rate_settings {
+  /// How long shares outlive an instance that is lost without a word.
+  milliseconds LeaseTerm = std::chrono::hours(6);
+  /// How long a loan between instances runs.
+  milliseconds LoanTerm{1000};
+  /// How long a starting instance looks for others before it claims shares.
+  milliseconds Settle{1500};
+  /// Largest difference between the wall clocks of two instances.
+  milliseconds ClockSkew{2000};
+};
+
 /// Everything, with the defaults.
 struct settings {
   identity_settings Identity;
@@ -58,6 +70,7 @@
   limit_settings Limits;
   directory_settings Directory;
   follow_settings Follow;
+  rate_settings Rates;
   target::settings Targets;
   bool RequestLog = true;
 };
--- a/Source/ScenarioTests/Fleet.cpp
+++ b/Source/ScenarioTests/Fleet.cpp
@@ -68,8 +68,10 @@
   startTargets();
   if (Plan.BreakableLinks)
     startProxy();
-  for (int Index = 1; Index <= Plan.Instances; ++Index)
-    startInstance(instanceName(Index));
+  for (const std::string &Name : instances())
+    launchInstance(Name);
+  for (const std::string &Name : instances())
+    finishInstance(Name);
 }
 
 fleet::~fleet() {
@@ -88,9 +90,8 @@
       .value_or("");
 }
 
-fleet::program_state &fleet::start(const std::string &Name,
-                                   const std::string &Program,
-                                   const std::string &Settings) {
+void fleet::launch(const std::string &Name, const std::string &Program,
+                   const std::string &Settings) {
   const std::string SettingsFile = write(Name + ".yaml", Settings);
   const std::string PortFile = absl::StrCat(Directory, "/", Name, ".ports");
   std::filesystem::remove(PortFile);
@@ -99,6 +100,11 @@
                         std::vector<std::string>{"--settings", SettingsFile,
                                                  "--port-file", PortFile},
                         absl::StrCat(Directory, "/", Name, ".log"));
+}
+
+void fleet::awaitPorts(const std::string &Name) {
+  const std::string PortFile = absl::StrCat(Directory, "/", Name, ".ports");
+  program_state &State = Programs.at(Name);
   const bool Started = await([&] {
     return std::filesystem::exists(PortFile) || State.Process->ended();
   });
@@ -106,7 +112,6 @@
     throw std::runtime_error(
         absl::StrCat(Name, " did not start: ", logOf(Name)));
   State.Ports = readPorts(PortFile);
-  return State;
 }
 
 std::string fleet::addressOf(const std::string &Name,
@@ -118,16 +123,19 @@
   std::string Names;
   for (const std::string &Name : instances())
     absl::StrAppend(&Names, Names.empty() ? "" : ", ", Name);
-  start("platform", "magnolia-platform",
-        absl::StrCat("listen: ", AnyPort, "\ninstances: [", Names, "]\n"));
+  launch("platform", "magnolia-platform",
+         absl::StrCat("listen: ", AnyPort, "\ninstances: [", Names, "]\n"));
+  awaitPorts("platform");
 }
 
 void fleet::startTargets() {
   for (int Index = 1; Index <= Plan.Targets; ++Index)
-    start(targetName(Index), "magnolia-target",
-          absl::StrCat("listen: ", AnyPort, "\nname: ", targetName(Index),
-                       "\nslots: ", Plan.Slots, "\nwork_time: ", Plan.WorkTime,
-                       "\n"));
+    launch(targetName(Index), "magnolia-target",
+           absl::StrCat("listen: ", AnyPort, "\nname: ", targetName(Index),
+                        "\nslots: ", Plan.Slots,
+                        "\nwork_time: ", Plan.WorkTime, "\n"));
+  for (int Index = 1; Index <= Plan.Targets; ++Index)
+    awaitPorts(targetName(Index));
 }
 
 void fleet::startProxy() {
@@ -145,7 +153,8 @@
   for (int Index = 1; Index <= Plan.Targets; ++Index)
     AddLink("target-" + targetName(Index),
             addressOf(targetName(Index), "target"));
-  start("proxy", "magnolia-faultproxy", Settings);
+  launch("proxy", "magnolia-faultproxy", Settings);
+  awaitPorts("proxy");
 }
 
 std::string fleet::instanceSettings(const std::string &Name) const {
@@ -168,12 +177,16 @@
                     "\n");
     Platform = addressOf("proxy", "platform-" + Name);
   }
-  return absl::StrCat(Settings, "platform: ", Platform, "\n",
-                      Plan.ExtraSettings);
+  return absl::StrCat(Settings, "platform: ", Platform,
+                      "\nrates:\n  settle: 700ms\n", Plan.ExtraSettings);
 }
 
-void fleet::startInstance(const std::string &Name) {
-  start(Name, "magnoliad", instanceSettings(Name));
+void fleet::launchInstance(const std::string &Name) {
+  launch(Name, "magnoliad", instanceSettings(Name));
+}
+
+void fleet::finishInstance(const std::string &Name) {
+  awaitPorts(Name);
   if (Plan.BreakableLinks)
     setLink("peer-" + Name,
             absl::StrCat("{\"forward\": \"", addressOf(Name, "peers"), "\"}"));
@@ -227,6 +240,20 @@
     throw std::runtime_error("apply failed: " + Result.Output);
 }
 
+void fleet::awaitServed(const std::string &Secret) {
+  call Call;
+  Call.Path = "/lookup/ready";
+  Call.Secret = Secret;
+  for (const std::string &Instance : instances())
+    if (!await([&] { return send(callers(Instance), Call).ok(); }))
+      throw std::runtime_error(Instance + " does not serve");
+  Call = {};
+  Call.Method = "DELETE";
+  Call.Path = "/admin/runs";
+  for (int Index = 1; Index <= Plan.Targets; ++Index)
+    send(target(targetName(Index)), Call);
+}
+
 std::string fleet::issueKey(const std::string &Workspace,
                             const std::string &Id) {
   const auto Result =
@@ -234,8 +261,10 @@
   std::istringstream Words(Result.Output);
   std::string Word;
   while (Words >> Word)
-    if (Word == "secret" && Words >> Word)
+    if (Word == "secret" && Words >> Word) {
+      awaitServed(Word);
       return Word;
+    }
   throw std::runtime_error("no secret in: " + Result.Output);
 }
 
@@ -262,7 +291,8 @@
 }
 
 void fleet::restartInstance(const std::string &Instance) {
-  startInstance(Instance);
+  launchInstance(Instance);
+  finishInstance(Instance);
 }
 
 void fleet::post(const std::string &Address, const std::string &Path,
--- a/Source/ScenarioTests/Fleet.h
+++ b/Source/ScenarioTests/Fleet.h
@@ -62,7 +62,11 @@
   /// Applies the plan's manifest and waits until it is in force everywhere.
   void applyManifest();
 
-  /// Issues a key and returns its secret.
+  /// Waits until every instance serves the key's workspace, then forgets the
+  /// runs of that.
+  void awaitServed(const std::string &Secret);
+
+  /// Issues a key and returns its secret, once every instance serves it.
   std::string issueKey(const std::string &Workspace, const std::string &Id);
 
   /// "IPv4:port" of an instance for callers and for operators, of a target.
@@ -100,12 +104,15 @@
 private:
   struct program_state;
 
-  program_state &start(const std::string &Name, const std::string &Program,
-                       const std::string &Settings);
+  void launch(const std::string &Name, const std::string &Program,
+              const std::string &Settings);
+  /// Waits until the launched program has told its ports.
+  void awaitPorts(const std::string &Name);
   void startPlatform();
   void startTargets();
   void startProxy();
-  void startInstance(const std::string &Name);
+  void launchInstance(const std::string &Name);
+  void finishInstance(const std::string &Name);
   std::string instanceSettings(const std::string &Name) const;
   std::string addressOf(const std::string &Name, const std::string &Port) const;
   void post(const std::string &Address, const std::string &Path,
--- a/Source/ScenarioTests/RateScenario.cpp
+++ b/Source/ScenarioTests/RateScenario.cpp
@@ -34,7 +34,7 @@
     call Call;
     Call.Path = "/lookup/x";
     Call.Secret = Secret;
-    Call.Timeout = std::chrono::milliseconds(8000);
+    Call.Timeout = std::chrono::milliseconds(2000);
     const auto Index = static_cast<size_t>(Thread + Number) % Addresses.size();
     return std::make_pair(Addresses[Index], Call);
   });
