Keep the electorate of the staleness rule while knowledge is not fresh

Cause: setPeers dropped whoever the membership gave up, so two instances cut off from all others became a majority of two after the silence bound and went on with old keys. Now peers are only dropped while the knowledge is fresh. The fleet of the tests reads the table when a call arrives there; before, a late answer carried the newest row.

--- a/Source/Core/Platform/ConfigFollower.cpp
+++ b/Source/Core/Platform/ConfigFollower.cpp
@@ -41,19 +41,28 @@
       LastNonce(Hooks.Random()) {}
 
 void config_follower::setPeers(std::vector<std::string> Peers) {
+  if (!isFresh())
+    Peers.insert(Peers.end(), Ring.begin(), Ring.end());
   std::sort(Peers.begin(), Peers.end());
+  Peers.erase(std::unique(Peers.begin(), Peers.end()), Peers.end());
   std::vector<std::string> Sorted = Ring;
   std::sort(Sorted.begin(), Sorted.end());
-  Freshness.setPeerCount(Peers.size());
   if (Peers == Sorted)
     return;
+  Freshness.setPeerCount(Peers.size());
   for (size_t Left = Peers.size(); Left > 1; --Left)
     std::swap(Peers[Left - 1], Peers[Hooks.Random() % Left]);
   Ring = std::move(Peers);
   NextInRing = 0;
 }
 
+bool config_follower::isFresh() const {
+  const auto Since = Freshness.completeSince();
+  return Since && LastAdvance <= *Since + Settings.Freshness.StaleAfter;
+}
+
 void config_follower::advance(time Now) {
+  LastAdvance = Now;
   pollIfDue(Now);
   askIfDue(Now);
   Fetcher.advance(Now);
--- a/Source/Core/Platform/ConfigFollower.h
+++ b/Source/Core/Platform/ConfigFollower.h
@@ -69,7 +69,11 @@
 
   config_follower(follower_settings Settings, follower_hooks Hooks);
 
-  /// Sets the names of the other instances that are thought to live.
+  /// Sets the names of the other instances that are thought to live. While the
+  /// knowledge of the configuration is not fresh none is dropped: instances
+  /// that are cut off from the others must not become a majority by forgetting
+  /// them. Silence must take longer than the staleness bound to end an instance
+  /// here.
   void setPeers(std::vector<std::string> Peers);
 
   /// Polls, asks and fetches whatever is due; call every 100 ms or so.
@@ -97,6 +101,7 @@
     time Asked;
   };
 
+  bool isFresh() const;
   void pollIfDue(time Now);
   void askIfDue(time Now);
   void askPeer(time Now, const std::string &Peer);
@@ -131,6 +136,7 @@
   absl::flat_hash_map<uint64_t, pending_ask> Asks;
   uint64_t LastNonce;
   uint64_t LastPoll = 0;
+  time LastAdvance = time::min();
   std::optional<time> PollStarted;
   time NextPoll = time::min();
   time NextAsk = time::min();
--- a/Source/UnitTests/Platform/ConfigFollowerTest.cpp
+++ b/Source/UnitTests/Platform/ConfigFollowerTest.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include "Common/Digest.h"
+#include "Contract/Codec.h"
 #include "FollowerFleet.h"
 
 using namespace magnolia::platform;
@@ -114,6 +116,25 @@
     }
     Fleet.runFor(PastStaleness);
     CHECK(countServing(Fleet) == FleetSize - 6);
+
+    SUBCASE("also when they give the others up") {
+      for (size_t Index = 0; Index < 6; ++Index)
+        Fleet.setPeers(Index, {(Index + 1) % 6, (Index + 2) % 6});
+      Fleet.runFor(PastStaleness);
+      CHECK(countServing(Fleet) == FleetSize - 6);
+    }
+  }
+
+  SUBCASE("needs no vouch of instances that went away before an outage") {
+    for (size_t Index = 0; Index < 5; ++Index)
+      Fleet.setPeers(Index, {(Index + 1) % 5, (Index + 2) % 5, (Index + 3) % 5,
+                             (Index + 4) % 5});
+    Fleet.platform().setFaults({true, {}, 0, 0});
+    for (size_t Index = 5; Index < FleetSize; ++Index)
+      Fleet.pause(Index, true);
+    Fleet.runFor(PastStaleness);
+    for (size_t Index = 0; Index < 5; ++Index)
+      CHECK(Fleet.servesKeyed(Index));
   }
 
   SUBCASE("has a paused instance refuse as soon as it goes on") {
@@ -144,6 +165,51 @@
   }
 }
 
+TEST_CASE("A follower without peers") {
+  using magnolia::common::boot_time;
+  constexpr boot_time Start(hours(1));
+  const std::string Bytes = magnolia::contract::encode({1, {}, {}});
+  config_head Head;
+  Head.Version = 1;
+  Head.Digest = magnolia::common::sha256Hex(Bytes);
+  uint64_t Poll = 0;
+  uint64_t Attempt = 0;
+  size_t Applied = 0;
+  std::mt19937_64 Random(1);
+  follower_hooks Hooks;
+  Hooks.PollHead = [&](uint64_t Id) { Poll = Id; };
+  Hooks.FetchObject = [&](uint64_t Id, const std::string &) { Attempt = Id; };
+  Hooks.Send = [](const std::string &, const config_message &) {};
+  Hooks.Apply = [&](const auto &) { ++Applied; };
+  Hooks.Random = [&] { return Random(); };
+  config_follower Follower({}, Hooks);
+  Follower.advance(Start);
+  Follower.onHead(Start, Poll, Head);
+  REQUIRE(Attempt == 1);
+
+  SUBCASE("does not take bytes that are not the ones named") {
+    Follower.onObject(Start, Attempt, Bytes + " ");
+    CHECK(Applied == 0);
+    Follower.advance(Start + seconds(1));
+    REQUIRE(Attempt == 2);
+    Follower.onObject(Start, 1, Bytes);
+    CHECK(Applied == 0);
+    Follower.onObject(Start, Attempt, Bytes);
+    CHECK(Applied == 1);
+  }
+
+  SUBCASE("dates what a poll says by the begin of the poll") {
+    Follower.onObject(Start, Attempt, Bytes);
+    CHECK(Applied == 1);
+    CHECK(Follower.keyedUntil() == Start + seconds(8));
+    const boot_time Second = Start + seconds(2);
+    Follower.advance(Second);
+    Follower.onHead(Second + seconds(4), Poll, Head);
+    CHECK(Follower.keyedUntil() == Second + seconds(8));
+    CHECK(Applied == 1);
+  }
+}
+
 namespace {
 
 constexpr uint64_t Schedules = 40;
--- a/Source/UnitTests/Platform/FollowerFleet.cpp
+++ b/Source/UnitTests/Platform/FollowerFleet.cpp
@@ -39,37 +39,45 @@
     Highest = std::max(Highest, Snapshot->version());
   };
   Hooks.PollHead = [this, Index](uint64_t Poll) {
-    callTable(
-        Index,
-        [this, Poll](config_follower &Follower) {
-          const auto Row = Services.Table.Get(ConfigHeadKey);
-          Follower.onHead(Now, Poll,
-                          Row.ok() ? decodeHead(*Row) : Row.status());
-        },
-        [this, Poll](config_follower &Follower) {
-          Follower.onHead(Now, Poll, absl::UnavailableError("cut"));
-        });
+    callTable(Index, [this, Poll](bool Reached) -> answer {
+      const absl::StatusOr<row> Row = Reached
+                                          ? Services.Table.Get(ConfigHeadKey)
+                                          : absl::UnavailableError("cut");
+      const absl::StatusOr<config_head> Head =
+          Row.ok() ? decodeHead(*Row) : Row.status();
+      return [this, Poll, Head](config_follower &Follower) {
+        Follower.onHead(Now, Poll, Head);
+      };
+    });
   };
   Hooks.FetchObject = [this, Index](uint64_t Attempt,
                                     const std::string &Digest) {
-    callTable(
-        Index,
-        [this, Attempt, Digest](config_follower &Follower) {
-          Follower.onObject(Now, Attempt, Services.Objects.Get(Digest));
-        },
-        [this, Attempt](config_follower &Follower) {
-          Follower.onObject(Now, Attempt, absl::UnavailableError("cut"));
-        });
+    callTable(Index, [this, Attempt, Digest](bool Reached) -> answer {
+      const absl::StatusOr<std::string> Bytes =
+          Reached ? Services.Objects.Get(Digest)
+                  : absl::UnavailableError("cut");
+      return [this, Attempt, Bytes](config_follower &Follower) {
+        Follower.onObject(Now, Attempt, Bytes);
+      };
+    });
   };
   follower_settings Settings;
   // Small, so that a fetch from a peer takes several messages.
   Settings.PieceBytes = 64;
   Instance.Follower = std::make_unique<config_follower>(Settings, Hooks);
-  std::vector<std::string> Peers;
+  std::vector<size_t> Peers;
   for (size_t Other = 0; Other < Instances.size(); ++Other)
     if (Other != Index)
-      Peers.push_back(std::to_string(Other));
-  Instance.Follower->setPeers(std::move(Peers));
+      Peers.push_back(Other);
+  setPeers(Index, Peers);
+}
+
+void follower_fleet::setPeers(size_t Instance,
+                              const std::vector<size_t> &Peers) {
+  std::vector<std::string> Names;
+  for (const size_t Peer : Peers)
+    Names.push_back(std::to_string(Peer));
+  Instances[Instance].Follower->setPeers(std::move(Names));
 }
 
 microseconds follower_fleet::delay() {
@@ -81,8 +89,7 @@
   Events.emplace(Now + Delay, std::move(Event));
 }
 
-void follower_fleet::deliver(size_t Index, uint64_t Incarnation,
-                             std::function<void(config_follower &)> Event) {
+void follower_fleet::deliver(size_t Index, uint64_t Incarnation, answer Event) {
   instance &Instance = Instances[Index];
   if (Instance.Incarnation != Incarnation)
     return;
@@ -95,14 +102,14 @@
 }
 
 void follower_fleet::callTable(size_t Index,
-                               std::function<void(config_follower &)> Reached,
-                               std::function<void(config_follower &)> Failed) {
+                               std::function<answer(bool Reached)> Call) {
   const bool Cut = Instances[Index].TableCut;
   const uint64_t Incarnation = Instances[Index].Incarnation;
-  later(Cut ? microseconds(CallTimeout) : delay(),
-        [this, Index, Incarnation, Event = Cut ? Failed : Reached] {
-          deliver(Index, Incarnation, Event);
-        });
+  later(Cut ? microseconds(CallTimeout) : delay(), [=, this] {
+    later(delay(), [=, this, Answer = Call(!Cut)] {
+      deliver(Index, Incarnation, Answer);
+    });
+  });
 }
 
 void follower_fleet::send(size_t From, const std::string &To,
--- a/Source/UnitTests/Platform/FollowerFleet.h
+++ b/Source/UnitTests/Platform/FollowerFleet.h
@@ -37,6 +37,8 @@
   void pause(size_t Instance, bool Paused);
   /// Replaces the instance by a fresh process of the same name.
   void restart(size_t Instance);
+  /// Sets which others \p Instance thinks to live.
+  void setPeers(size_t Instance, const std::vector<size_t> &Peers);
   /// Of a thousand messages between instances, how many are lost.
   void setLoss(unsigned PerMille) { LossPerMille = PerMille; }
 
@@ -67,12 +69,13 @@
     std::vector<std::function<void()>> Waiting;
   };
 
+  using answer = std::function<void(config_follower &)>;
+
   void start(size_t Index);
   void later(std::chrono::microseconds Delay, std::function<void()> Event);
-  void deliver(size_t Index, uint64_t Incarnation,
-               std::function<void(config_follower &)> Event);
-  void callTable(size_t Index, std::function<void(config_follower &)> Reached,
-                 std::function<void(config_follower &)> Failed);
+  void deliver(size_t Index, uint64_t Incarnation, answer Event);
+  /// Calls the platform; \p Call runs there and makes the answer.
+  void callTable(size_t Index, std::function<answer(bool Reached)> Call);
   void send(size_t From, const std::string &To, const config_message &Message);
   std::chrono::microseconds delay();
 
