--- a/Source/Core/Platform/ConfigFetcher.cpp
+++ b/Source/Core/Platform/ConfigFetcher.cpp
@@ -1,6 +1,7 @@
 #include "Platform/ConfigFetcher.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "Common/Digest.h"
 
@@ -99,7 +100,8 @@
   }
   Received += Piece.Bytes;
   if (Received.size() == Piece.Total) {
-    take(Now, std::move(Received));
+    const std::string Whole = std::exchange(Received, {});
+    take(Now, Whole);
     return;
   }
   Due = Now + Settings.Timeout;
--- a/Source/UnitTests/MagnoliaCtl/CommandsTest.cpp
+++ b/Source/UnitTests/MagnoliaCtl/CommandsTest.cpp
@@ -111,7 +111,8 @@
       const auto Object = Context.Services.Objects.Get(Head->Digest);
       CHECK(Object->find(common::sha256Hex(Secret)) != std::string::npos);
       CHECK(Object->find(Secret) == std::string::npos);
-      for (const platform::row &Row : *Context.Services.Table.Scan(""))
+      const auto Rows = Context.Services.Table.Scan("");
+      for (const platform::row &Row : *Rows)
         CHECK(Row.Value.find(Secret) == std::string::npos);
 
       SUBCASE("and revokes it for good") {
--- a/Source/UnitTests/Net/Platform/PlatformClientTest.cpp
+++ b/Source/UnitTests/Net/Platform/PlatformClientTest.cpp
@@ -13,8 +13,6 @@
 #include "StandIns/Platform/PlatformServer.h"
 
 using namespace magnolia;
-using platform::listed_instance;
-using platform::write;
 
 TEST_CASE("The platform over HTTP") {
   platform::memory_platform Platform;
@@ -69,9 +67,15 @@
   }
 
   SUBCASE("that loses a reply leaves the outcome unknown") {
+    SUBCASE("on a new connection") {}
+    SUBCASE("on a connection that was used before") {
+      REQUIRE(Table.Get("k").ok());
+    }
+    const uint64_t Calls = Platform.callCount();
     REQUIRE(Admin.Post("/admin/faults", R"({"lose_replies":1})",
                        "application/json"));
     CHECK(absl::IsUnknown(Table.Commit({}, {{"k", "v"}})));
+    CHECK_MESSAGE(Platform.callCount() == Calls + 1, "the commit was resent");
     CHECK(Table.Get("k")->Value == "v");
     CHECK(Table.Commit({}, {{"k", "w"}}).ok());
   }
@@ -107,6 +111,7 @@
     constexpr int CallsEach = 25;
     std::atomic<int> Succeeded = 0;
     std::vector<std::thread> Threads;
+    Threads.reserve(Callers);
     for (int Caller = 0; Caller < Callers; ++Caller)
       Threads.emplace_back([&, Caller] {
         const std::string Key = absl::StrCat("row-", Caller);
--- a/Source/UnitTests/Platform/FollowerFleet.cpp
+++ b/Source/UnitTests/Platform/FollowerFleet.cpp
@@ -66,6 +66,7 @@
   Settings.PieceBytes = 64;
   Instance.Follower = std::make_unique<config_follower>(Settings, Hooks);
   std::vector<size_t> Peers;
+  Peers.reserve(Instances.size());
   for (size_t Other = 0; Other < Instances.size(); ++Other)
     if (Other != Index)
       Peers.push_back(Other);
@@ -101,8 +102,8 @@
     Event(*Instance.Follower);
 }
 
-void follower_fleet::callTable(size_t Index,
-                               std::function<answer(bool Reached)> Call) {
+void follower_fleet::callTable(
+    size_t Index, const std::function<answer(bool Reached)> &Call) {
   const bool Cut = Instances[Index].TableCut;
   const uint64_t Incarnation = Instances[Index].Incarnation;
   later(Cut ? microseconds(CallTimeout) : delay(), [=, this] {
@@ -115,10 +116,13 @@
 void follower_fleet::send(size_t From, const std::string &To,
                           const config_message &Message) {
   const size_t Index = std::stoul(To);
+  const std::string Bytes = encode(Message);
+  ++Messages;
+  MessageBytes += Bytes.size();
   if (Instances[From].CutTo.contains(Index) || Random() % 1000 < LossPerMille)
     return;
   const uint64_t Incarnation = Instances[Index].Incarnation;
-  later(delay(), [=, this, Bytes = encode(Message)] {
+  later(delay(), [=, this] {
     deliver(Index, Incarnation, [=, this](config_follower &Follower) {
       Follower.onMessage(Now, std::to_string(From),
                          *decodeConfigMessage(Bytes));
--- a/Source/UnitTests/Platform/FollowerFleet.h
+++ b/Source/UnitTests/Platform/FollowerFleet.h
@@ -54,6 +54,10 @@
   /// Whether every running instance has \p Version in force.
   bool allHave(uint64_t Version) const;
 
+  /// Messages between instances since the start, and their encoded bytes.
+  uint64_t messages() const { return Messages; }
+  uint64_t messageBytes() const { return MessageBytes; }
+
   /// Times at which an instance put a lower version in force than before.
   uint64_t reverts() const { return Reverts; }
 
@@ -75,7 +79,7 @@
   void later(std::chrono::microseconds Delay, std::function<void()> Event);
   void deliver(size_t Index, uint64_t Incarnation, answer Event);
   /// Calls the platform; \p Call runs there and makes the answer.
-  void callTable(size_t Index, std::function<answer(bool Reached)> Call);
+  void callTable(size_t Index, const std::function<answer(bool Reached)> &Call);
   void send(size_t From, const std::string &To, const config_message &Message);
   std::chrono::microseconds delay();
 
@@ -88,6 +92,8 @@
   std::map<uint64_t, time> Accepted;
   unsigned LossPerMille = 0;
   uint64_t Reverts = 0;
+  uint64_t Messages = 0;
+  uint64_t MessageBytes = 0;
 };
 
 } // namespace magnolia::platform
