--- a/Source/UnitTests/Platform/FollowerFleet.cpp
+++ b/Source/UnitTests/Platform/FollowerFleet.cpp
@@ -19,10 +19,10 @@
   for (size_t Index = 0; Index < Count; ++Index)
     Instances[Index].Name = std::to_string(Index);
   for (size_t Index = 0; Index < Count; ++Index)
-    start(Index);
+    start(Index, othersThan(Index));
 }
 
-void follower_fleet::start(size_t Index) {
+void follower_fleet::start(size_t Index, const std::vector<size_t> &Peers) {
   instance &Instance = Instances[Index];
   ++Instance.Incarnation;
   Instance.Highest = 0;
@@ -39,37 +39,50 @@
     Highest = std::max(Highest, Snapshot->version());
   };
   Hooks.PollHead = [this, Index](uint64_t Poll) {
-    callTable(
-        Index,
-        [this, Poll](config_follower &Follower) {
-          const auto Row = Services.Table.Get(ConfigHeadKey);
-          Follower.onHead(Now, Poll,
-                          Row.ok() ? decodeHead(*Row) : Row.status());
-        },
-        [this, Poll](config_follower &Follower) {
-          Follower.onHead(Now, Poll, absl::UnavailableError("cut"));
-        });
+    callTable(Index, [this, Poll](bool Reached) -> answer {
+      const absl::StatusOr<row> Row = Reached
+                                          ? Services.Table.Get(ConfigHeadKey)
+                                          : absl::UnavailableError("cut");
+      const absl::StatusOr<config_head> Head =
+          Row.ok() ? decodeHead(*Row) : Row.status();
+      return [this, Poll, Head](config_follower &Follower) {
+        Follower.onHead(Now, Poll, Head);
+      };
+    });
   };
   Hooks.FetchObject = [this, Index](uint64_t Attempt,
                                     const std::string &Digest) {
-    callTable(
-        Index,
-        [this, Attempt, Digest](config_follower &Follower) {
-          Follower.onObject(Now, Attempt, Services.Objects.Get(Digest));
-        },
-        [this, Attempt](config_follower &Follower) {
-          Follower.onObject(Now, Attempt, absl::UnavailableError("cut"));
-        });
+    callTable(Index, [this, Attempt, Digest](bool Reached) -> answer {
+      const absl::StatusOr<std::string> Bytes =
+          Reached ? Services.Objects.Get(Digest)
+                  : absl::UnavailableError("cut");
+      return [this, Attempt, Bytes](config_follower &Follower) {
+        Follower.onObject(Now, Attempt, Bytes);
+      };
+    });
   };
   follower_settings Settings;
   // Small, so that a fetch from a peer takes several messages.
   Settings.PieceBytes = 64;
   Instance.Follower = std::make_unique<config_follower>(Settings, Hooks);
-  std::vector<std::string> Peers;
+  setPeers(Index, Peers);
+}
+
+std::vector<size_t> follower_fleet::othersThan(size_t Index) const {
+  std::vector<size_t> Others;
+  Others.reserve(Instances.size());
   for (size_t Other = 0; Other < Instances.size(); ++Other)
     if (Other != Index)
-      Peers.push_back(std::to_string(Other));
-  Instance.Follower->setPeers(std::move(Peers));
+      Others.push_back(Other);
+  return Others;
+}
+
+void follower_fleet::setPeers(size_t Instance,
+                              const std::vector<size_t> &Peers) {
+  std::vector<std::string> Names;
+  for (const size_t Peer : Peers)
+    Names.push_back(std::to_string(Peer));
+  Instances[Instance].Follower->setPeers(std::move(Names));
 }
 
 microseconds follower_fleet::delay() {
@@ -81,8 +94,7 @@
   Events.emplace(Now + Delay, std::move(Event));
 }
 
-void follower_fleet::deliver(size_t Index, uint64_t Incarnation,
-                             std::function<void(config_follower &)> Event) {
+void follower_fleet::deliver(size_t Index, uint64_t Incarnation, answer Event) {
   instance &Instance = Instances[Index];
   if (Instance.Incarnation != Incarnation)
     return;
@@ -94,24 +106,27 @@
     Event(*Instance.Follower);
 }
 
-void follower_fleet::callTable(size_t Index,
-                               std::function<void(config_follower &)> Reached,
-                               std::function<void(config_follower &)> Failed) {
+void follower_fleet::callTable(
+    size_t Index, const std::function<answer(bool Reached)> &Call) {
   const bool Cut = Instances[Index].TableCut;
   const uint64_t Incarnation = Instances[Index].Incarnation;
-  later(Cut ? microseconds(CallTimeout) : delay(),
-        [this, Index, Incarnation, Event = Cut ? Failed : Reached] {
-          deliver(Index, Incarnation, Event);
-        });
+  later(Cut ? microseconds(CallTimeout) : delay(), [=, this] {
+    later(delay(), [=, this, Answer = Call(!Cut)] {
+      deliver(Index, Incarnation, Answer);
+    });
+  });
 }
 
 void follower_fleet::send(size_t From, const std::string &To,
                           const config_message &Message) {
   const size_t Index = std::stoul(To);
+  const std::string Bytes = encode(Message);
+  ++Messages;
+  MessageBytes += Bytes.size();
   if (Instances[From].CutTo.contains(Index) || Random() % 1000 < LossPerMille)
     return;
   const uint64_t Incarnation = Instances[Index].Incarnation;
-  later(delay(), [=, this, Bytes = encode(Message)] {
+  later(delay(), [=, this] {
     deliver(Index, Incarnation, [=, this](config_follower &Follower) {
       Follower.onMessage(Now, std::to_string(From),
                          *decodeConfigMessage(Bytes));
@@ -162,7 +177,11 @@
     Event();
 }
 
-void follower_fleet::restart(size_t Index) { start(Index); }
+void follower_fleet::restart(size_t Index) { start(Index, othersThan(Index)); }
+
+void follower_fleet::restart(size_t Index, const std::vector<size_t> &Peers) {
+  start(Index, Peers);
+}
 
 uint64_t follower_fleet::change() {
   config_store_hooks Hooks;
