Let a handover finish when its period is shorter than the loans' term

Each period marked the same slot again and so restarted its wait; with a loan term of 3 s and a period of 1 s no slot was ever freed. Found by a new test that a slot is freed only after its loans have ended.

--- a/Source/Core/Quota/ShareKeeperClaims.cpp
+++ b/Source/Core/Quota/ShareKeeperClaims.cpp
@@ -209,7 +209,10 @@
       if (holds(It->second))
         Mine.push_back(It->first);
     }
-    if (Mine.empty())
+    const bool Underway = std::any_of(Mine.begin(), Mine.end(), [&](slot Slot) {
+      return Handovers.contains(Slot);
+    });
+    if (Mine.empty() || Underway)
       continue;
     const std::vector<size_t> Order = homeOrder(P, Live);
     const size_t Preferred = std::min<size_t>(Layout.SlotCount, Order.size());
--- a/Source/UnitTests/Quota/KeeperTest.cpp
+++ b/Source/UnitTests/Quota/KeeperTest.cpp
@@ -96,6 +96,21 @@
     CHECK(Fleet.at(Holder).Running);
   }
 
+  SUBCASE("free a slot that they hand over only after its loans have ended") {
+    fleet_options Options = steadyClocks();
+    Options.LoanTerm = seconds(3);
+    fake_fleet Late(Options);
+    Late.start(0);
+    Late.run(seconds(1));
+    for (size_t Index = 1; Index < Late.size(); ++Index)
+      Late.start(Index);
+    Late.run(milliseconds(2500));
+    CHECK(heldBy(Late, 0) < 4);
+    CHECK(slotsHeld(Late) == heldBy(Late, 0));
+    Late.run(seconds(3));
+    CHECK(slotsHeld(Late) > heldBy(Late, 0));
+  }
+
   SUBCASE("hand slots over to better homes that come later") {
     fake_fleet Late(steadyClocks());
     Late.start(0);
