--- a/Source/Core/Quota/ShareKeeper.h
+++ b/Source/Core/Quota/ShareKeeper.h
@@ -33,7 +33,7 @@
   bool BoundExclusively = false;
   duration LeaseTerm = std::chrono::hours(6);
   duration RenewPeriod = std::chrono::seconds(60);
-  duration RefreshPeriod = std::chrono::seconds(5);
+  duration RefreshPeriod = std::chrono::seconds(2);
   /// Largest difference between the wall clocks of any two instances.
   duration ClockSkew = std::chrono::seconds(2);
   /// Largest relative difference between the speeds of two clocks.
--- a/Source/Core/Quota/ShareKeeperClaims.cpp
+++ b/Source/Core/Quota/ShareKeeperClaims.cpp
@@ -23,6 +23,8 @@
   if (absl::Status Status = scanShares(); !Status.ok())
     return Status;
   NextRefresh = Now.Boot + Options.RefreshPeriod;
+  if (Now.Boot < UsableFrom)
+    NextRefresh = std::min(NextRefresh, UsableFrom);
   // Only what the scan shows is used: a slot that this step claims has its
   // tokens counted from the next step's time, when the claim is surely done.
   publish(*Leases, Now);
