--- a/Source/Magnoliad/Gateway.cpp
+++ b/Source/Magnoliad/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "Magnoliad/Gateway.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "Common/Digest.h"
 #include "Common/ErrorKind.h"
@@ -19,6 +20,8 @@
 constexpr std::string_view DirectoryPath = "/.magnolia/directory";
 constexpr std::string_view OwnPathPrefix = "/.magnolia/";
 
+constexpr std::string_view IdempotencyHeader = "Idempotency-Key";
+
 /// Outcomes in logs and metrics beside the names of the error table.
 constexpr std::string_view SuccessOutcome = "ok";
 constexpr std::string_view BrokenOutcome = "answer_broken_off";
@@ -29,6 +32,13 @@
 /// Body bytes that wait in memory between caller and target.
 constexpr size_t PipeBytes = size_t{256} * 1024;
 
+/// Boot-clock microseconds at which each attempt was paid for.
+std::string spentText(const forward_report &Report) {
+  return absl::StrJoin(Report.Spent, ",", [](std::string *Out, boot_time Time) {
+    absl::StrAppend(Out, Time.time_since_epoch().count());
+  });
+}
+
 } // namespace
 
 /// What is known of one request while it is served; recorded when the last part
@@ -47,6 +57,9 @@
   std::string_view Outcome = SuccessOutcome;
   contract::snapshot_ptr Snapshot;
   std::optional<rate_permit> Permit;
+  std::optional<request::claim> Claim;
+  /// Of the answer, once there is one.
+  int HttpStatus = 0;
   forward_request Request;
   forward_report Report;
 };
@@ -161,8 +174,11 @@
     Status = readBody(Exchange, *Visit);
   if (Status.ok() && Keyed)
     Status = admit(*Visit);
+  if (Status.ok())
+    Status = claimKey(*Visit);
   if (Status.ok())
     Status = forward(Exchange, Visit);
+  finishClaim(*Visit, Status);
   if (Visit->Permit)
     Visit->Permit->Cancel();
   return Status;
@@ -177,7 +193,40 @@
   return absl::OkStatus();
 }
 
+absl::Status gateway::claimKey(visit &Visit) const {
+  const forward_request &Request = Visit.Request;
+  const auto Key = http::findHeader(Request.Head->Headers, IdempotencyHeader);
+  if (!Key || Request.Route->Repeatable)
+    return absl::OkStatus();
+  // A body that streams is not there yet and stays out of the fingerprint.
+  const std::string Fingerprint = request::fingerprintOf(
+      Request.Head->Method, Request.Head->Target, Request.Body);
+  auto Claim = Hooks.ClaimKey(
+      {Request.Workspace, Request.Route->Name, std::string(*Key)}, Fingerprint,
+      Request.Deadline);
+  if (!Claim.ok())
+    return Claim.status();
+  Visit.Claim = *std::move(Claim);
+  return absl::OkStatus();
+}
+
+void gateway::finishClaim(visit &Visit, const absl::Status &Status) const {
+  if (!Visit.Claim)
+    return;
+  const common::execution Execution =
+      Status.ok() ? common::execution::Ran
+                  : common::answerFor(common::kindOf(Status)).Execution;
+  Hooks.FinishClaim(*Visit.Claim, Execution, Visit.HttpStatus);
+}
+
 absl::Status gateway::spend(visit &Visit) const {
+  absl::Status Spent = spendRight(Visit);
+  if (Spent.ok())
+    Visit.Report.Spent.push_back(boot_clock::now());
+  return Spent;
+}
+
+absl::Status gateway::spendRight(visit &Visit) const {
   if (Visit.Request.Workspace.empty())
     return absl::OkStatus();
   // Targets count every attempt, so a retry needs a right of its own.
@@ -211,6 +260,7 @@
   if (!Answer.ok())
     return Answer.status();
 
+  Visit->HttpStatus = Answer->Status;
   const auto Produce = std::move(Answer->Produce);
   Exchange.answer(http::streamed_answer{
       Answer->Status, std::move(Answer->Headers), Answer->BodyLength,
@@ -247,7 +297,8 @@
                {"key", Visit.KeyId},
                {"outcome", std::string(Visit.Outcome)},
                {"target", Visit.Report.Target},
-               {"attempts", std::to_string(Visit.Report.Attempts)},
+               {"attempts", std::to_string(Visit.Report.Spent.size())},
+               {"spent_us", spentText(Visit.Report)},
                {"micros", std::to_string(Latency.count())}});
 }
 
