--- a/Source/Core/Target/Evidence.cpp
+++ b/Source/Core/Target/Evidence.cpp
@@ -21,9 +21,9 @@
                     "half_answer", "unreachable", "refused_not_run",
                     "mismatched"};
 
-evidence_summary scaled(const evidence_summary &Sums, double Factor) {
-  return {Sums.Weight * Factor, Sums.Faults * Factor, Sums.Answers * Factor,
-          Sums.LogLatencySum * Factor, Sums.Suspicion * Factor};
+double remaining(duration Age, duration HalfLife) {
+  return std::exp2(-static_cast<double>(Age.count()) /
+                   static_cast<double>(HalfLife.count()));
 }
 
 double logMicros(duration Latency) {
@@ -83,16 +83,19 @@
   Suspicion += Other.Suspicion;
 }
 
-double evidence::decayUntil(boot_time Now, const settings &Settings) const {
+evidence_summary evidence::aged(boot_time Now, const settings &Settings) const {
   if (Now <= Updated)
-    return 1;
-  const auto Age = static_cast<double>((Now - Updated).count());
-  return std::exp2(-Age / static_cast<double>(Settings.HalfLife.count()));
+    return Sums;
+  const double Factor = remaining(Now - Updated, Settings.HalfLife);
+  const double SuspicionFactor =
+      remaining(Now - Updated, Settings.SuspicionHalfLife);
+  return {Sums.Weight * Factor, Sums.Faults * Factor, Sums.Answers * Factor,
+          Sums.LogLatencySum * Factor, Sums.Suspicion * SuspicionFactor};
 }
 
 void evidence::observe(outcome Outcome, duration Latency, duration Median,
                        boot_time Now, const settings &Settings) {
-  Sums = scaled(Sums, decayUntil(Now, Settings));
+  Sums = aged(Now, Settings);
   Updated = std::max(Updated, Now);
   const evidence_summary Attempt = summaryOf(Outcome, Latency);
   Sums.add(Attempt);
@@ -104,7 +107,7 @@
 
 evidence_summary evidence::summarize(uint32_t Stalled, boot_time Now,
                                      const settings &Settings) const {
-  evidence_summary Summary = scaled(Sums, decayUntil(Now, Settings));
+  evidence_summary Summary = aged(Now, Settings);
   Summary.Weight += Stalled;
   Summary.Faults += Stalled;
   Summary.Suspicion = clampSuspicion(
--- a/Source/Core/Target/Evidence.h
+++ b/Source/Core/Target/Evidence.h
@@ -67,7 +67,7 @@
   void reset() { *this = evidence(); }
 
 private:
-  double decayUntil(boot_time Now, const settings &Settings) const;
+  evidence_summary aged(boot_time Now, const settings &Settings) const;
 
   evidence_summary Sums;
   boot_time Updated;
--- a/Source/Core/Target/FleetView.cpp
+++ b/Source/Core/Target/FleetView.cpp
@@ -13,9 +13,6 @@
 
 /// Failure domains that must agree before a target counts as bad.
 constexpr size_t DomainsToAgree = 2;
-/// The sum over a failure domain's observers must exceed the threshold of one
-/// by this factor, since one event raises the suspicion of several.
-constexpr double SumThreshold = 1.5;
 
 /// Evidence of one failure domain: per target the sum over its observers but
 /// the most suspicious one, whose own link may be at fault. The
@@ -48,9 +45,7 @@
 
 void addVotes(const std::vector<evidence_summary> &Sums,
               const settings &Settings, std::vector<votes> &Votes) {
-  target::settings SumSettings = Settings;
-  SumSettings.Threshold *= SumThreshold;
-  const std::vector<double> Scores = outlierScores(Sums, SumSettings);
+  const std::vector<double> Scores = outlierScores(Sums, Settings);
   for (size_t Target = 0; Target < Votes.size(); ++Target) {
     if (Scores[Target] < 1) {
       Votes[Target].Good += Sums[Target].Weight >= Settings.MinimumWeight;
--- a/Source/Core/Target/Settings.h
+++ b/Source/Core/Target/Settings.h
@@ -19,6 +19,8 @@
   /// Suspicion at which a target is an outlier: the point on the curve of
   /// detection time against false ejections. See evidence_summary.
   double Threshold = 10;
+  /// Age at which suspicion halves without an observation.
+  duration SuspicionHalfLife = std::chrono::seconds(30);
   /// Answers that are slower than this multiple of the service's median
   /// latency raise suspicion, others lower it.
   double LatencyRatio = 2.5;
