--- a/Source/Core/Target/Settings.cpp
+++ b/Source/Core/Target/Settings.cpp
@@ -10,7 +10,7 @@
 
 settings settings::fastDetection() {
   settings Settings;
-  Settings.Threshold = 7;
+  Settings.Threshold = 10;
   return Settings;
 }
 
