--- a/Source/Core/Target/FleetView.cpp
+++ b/Source/Core/Target/FleetView.cpp
@@ -14,6 +14,9 @@
 /// Failure domains that must agree before a target counts as bad.
 constexpr size_t DomainsToAgree = 2;
 
+/// Reports of instances that were silent for so long are dropped.
+constexpr duration ForgetReportAfter = std::chrono::minutes(1);
+
 /// Evidence of one failure domain: per target the sum over its observers but
 /// the most suspicious one, whose own link may be at fault. The
 /// observation of a single observer is taken as it is.
@@ -65,6 +68,10 @@
 
 void fleet_view::begin(std::string_view Instance,
                        std::string_view FailureDomain, boot_time Now) {
+  if (!Reports.contains(common::toAbsl(Instance)))
+    absl::erase_if(Reports, [&](const auto &Item) {
+      return Now - Item.second.Received > ForgetReportAfter;
+    });
   Reports[common::toAbsl(Instance)] = {
       std::string(FailureDomain), Now,
       std::vector<evidence_summary>(TargetCount)};
--- a/Source/Core/Target/Selector.cpp
+++ b/Source/Core/Target/Selector.cpp
@@ -16,6 +16,10 @@
 /// boot clock against the sender's.
 constexpr int64_t DriftDivisor = 100;
 
+/// A peer that was silent for so long may have been replaced under another
+/// name.
+constexpr duration ForgetPeerAfter = std::chrono::minutes(1);
+
 uint64_t randomNumber() {
   thread_local absl::InsecureBitGen Generator;
   return Generator();
@@ -161,8 +165,8 @@
     Digest.Reports.erase(Limit, Digest.Reports.end());
   }
   const absl::MutexLock Lock(&Mutex);
-  for (const auto &[Instance, Echo] : Peers)
-    Digest.Echoes.push_back(Echo);
+  for (const auto &[Instance, Peer] : Peers)
+    Digest.Echoes.push_back(Peer.Echo);
   for (const published_list &Each : Published) {
     if (Each.Until <= Now)
       continue;
@@ -172,18 +176,28 @@
   return Digest;
 }
 
-bool target_selector::takeStamp(const digest &Digest) {
+void target_selector::forgetSilentPeers(boot_time Now) {
+  absl::erase_if(Peers, [&](const auto &Item) {
+    return Now - Item.second.Received > ForgetPeerAfter;
+  });
+}
+
+bool target_selector::takeStamp(const digest &Digest, boot_time Now) {
   const absl::MutexLock Lock(&Mutex);
-  digest_echo &Last = Peers[Digest.Instance];
+  if (!Peers.contains(Digest.Instance))
+    forgetSilentPeers(Now);
+  peer &Peer = Peers[Digest.Instance];
+  digest_echo &Last = Peer.Echo;
   if (!Last.Instance.empty() && std::tie(Digest.Incarnation, Digest.Stamp) <=
                                     std::tie(Last.Incarnation, Last.Stamp))
     return false;
   Last = {Digest.Instance, Digest.Incarnation, Digest.Stamp};
+  Peer.Received = Now;
   return true;
 }
 
 bool target_selector::receive(const digest &Digest, boot_time Now) {
-  if (Digest.Instance == Self.Instance || !takeStamp(Digest))
+  if (Digest.Instance == Self.Instance || !takeStamp(Digest, Now))
     return false;
   takeReports(Digest, Now);
   obey(Digest, Now);
--- a/Source/Core/Target/Selector.h
+++ b/Source/Core/Target/Selector.h
@@ -86,6 +86,11 @@
   };
   using service_ptr = std::shared_ptr<guarded_service>;
 
+  struct peer {
+    digest_echo Echo;
+    boot_time Received;
+  };
+
   struct published_list {
     ejection_list List;
     boot_time Until;
@@ -96,14 +101,15 @@
   template <typename Function> void forEach(Function &&Fn);
   void takeReports(const digest &Digest, boot_time Now);
   void obey(const digest &Digest, boot_time Now);
-  bool takeStamp(const digest &Digest);
+  bool takeStamp(const digest &Digest, boot_time Now);
+  void forgetSilentPeers(boot_time Now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
 
   const identity Self;
   const settings Settings;
   const random_hook Random;
   common::sharded_map<std::string, service_ptr> Services;
   absl::Mutex Mutex;
-  absl::flat_hash_map<std::string, digest_echo> Peers ABSL_GUARDED_BY(Mutex);
+  absl::flat_hash_map<std::string, peer> Peers ABSL_GUARDED_BY(Mutex);
   std::vector<published_list> Published ABSL_GUARDED_BY(Mutex);
 };
 
--- a/Source/UnitTests/Target/SelectorTest.cpp
+++ b/Source/UnitTests/Target/SelectorTest.cpp
@@ -299,3 +299,17 @@
     CHECK(World.standingOf("t1") == standing::Healthy);
   }
 }
+
+TEST_CASE("A digest echoes no peer that was silent for long") {
+  world World;
+  digest Digest;
+  Digest.Instance = "b";
+  CHECK(World.Selector.receive(Digest, World.Now));
+  CHECK_FALSE(World.Selector.receive(Digest, World.Now));
+  World.Now += std::chrono::minutes(2);
+  Digest.Instance = "c";
+  CHECK(World.Selector.receive(Digest, World.Now));
+  const digest Own = World.Selector.makeDigest(World.Now);
+  REQUIRE(Own.Echoes.size() == 1);
+  CHECK(Own.Echoes[0].Instance == "c");
+}
