--- a/Source/Core/Admission/ConcurrencyLimits.cpp
+++ b/Source/Core/Admission/ConcurrencyLimits.cpp
@@ -3,13 +3,12 @@
 #include <algorithm>
 #include <cmath>
 
-#include "Common/StringView.h"
-
 namespace magnolia::admission {
 namespace {
 
-/// The least limit as a part of a target's slots over its sharers.
-constexpr double LowestPart = 0.25;
+/// The least limit as a part of a target's slots over its sharers. An instance
+/// that others crowd out keeps nearly its share.
+constexpr double LowestPart = 0.8;
 
 } // namespace
 
@@ -24,14 +23,17 @@
     const double Share =
         static_cast<double>(Target.Slots) / std::max(1U, Sharers);
     State.Usable = true;
+    State.Limit.Share = Share;
     State.Limit.Lowest = LowestPart * Share;
     State.Limit.Highest = Target.Slots;
     State.Limit.Limit = std::clamp(IsNew ? Share : State.Limit.Limit,
                                    State.Limit.Lowest, State.Limit.Highest);
   }
-  absl::erase_if(Targets, [](const auto &Entry) {
-    return !Entry.second.Usable && Entry.second.InFlight == 0;
-  });
+  for (auto Entry = Targets.begin(); Entry != Targets.end();) {
+    const target_state &State = Entry->second;
+    const bool IsDone = !State.Usable && State.InFlight == 0;
+    Entry = IsDone ? Targets.erase(Entry) : std::next(Entry);
+  }
 }
 
 size_t concurrency_limits::capacity() const {
@@ -51,7 +53,7 @@
 
 bool concurrency_limits::hasRoom(std::string_view Target) const {
   const absl::MutexLock Lock(&Mutex);
-  const auto Found = Targets.find(common::toAbsl(Target));
+  const auto Found = Targets.find(std::string(Target));
   return Found != Targets.end() && hasRoomFor(Found->second);
 }
 
@@ -61,7 +63,7 @@
 
 bool concurrency_limits::tryStart(std::string_view Target) {
   const absl::MutexLock Lock(&Mutex);
-  const auto Found = Targets.find(common::toAbsl(Target));
+  const auto Found = Targets.find(std::string(Target));
   if (Found == Targets.end() || !hasRoomFor(Found->second))
     return false;
   ++Found->second.InFlight;
@@ -72,7 +74,7 @@
                                 std::chrono::microseconds Latency,
                                 common::boot_time Now) {
   const absl::MutexLock Lock(&Mutex);
-  const auto Found = Targets.find(common::toAbsl(Target));
+  const auto Found = Targets.find(std::string(Target));
   if (Found == Targets.end() || Found->second.InFlight == 0)
     return;
   target_state &State = Found->second;
--- a/Source/Core/Admission/ConcurrencyLimits.h
+++ b/Source/Core/Admission/ConcurrencyLimits.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include <absl/base/thread_annotations.h>
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_map.h>
 #include <absl/synchronization/mutex.h>
 
 #include "Admission/LimitRule.h"
@@ -69,7 +69,8 @@
 
   limit_rule Rule;
   mutable absl::Mutex Mutex;
-  absl::flat_hash_map<std::string, target_state> Targets ABSL_GUARDED_BY(Mutex);
+  /// Ordered, so that sums come out the same for the same history.
+  absl::btree_map<std::string, target_state> Targets ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace magnolia::admission
--- a/Source/Core/Admission/FairQueue.cpp
+++ b/Source/Core/Admission/FairQueue.cpp
@@ -46,7 +46,6 @@
       return common::makeError(error_kind::QueueDeadlineExceeded,
                                "too little time is left before the deadline");
     }
-    refuseLateOf(State, Now, Decisions);
     absl::Status Room = makeRoom(State, Decisions);
     if (Room.ok()) {
       Ticket = NextTicket++;
@@ -131,6 +130,7 @@
   std::unique_ptr<workspace_state> &State = Workspaces[std::string(Name)];
   if (!State) {
     State = std::make_unique<workspace_state>();
+    State->Number = NextWorkspace++;
     State->SlotTime = SlotTime;
   }
   State->Weight = Weight;
@@ -144,12 +144,12 @@
     return;
   // Idle time earns no credit.
   State.NextStart = std::max(State.NextStart, VirtualTime);
-  Backlogged.emplace(State.NextStart, &State);
+  Backlogged.insert(entryOf(State));
 }
 
 void fair_queue::dequeued(workspace_state &State) {
   if (State.Waiting.empty())
-    Backlogged.erase({State.NextStart, &State});
+    Backlogged.erase(entryOf(State));
 }
 
 /// Makes place for one request of \p Newcomer. In a full queue the newest
@@ -186,11 +186,11 @@
     const auto Length = [](const workspace_state &State) {
       return static_cast<double>(State.Waiting.size()) / State.Weight;
     };
-    return Length(*Left.second) < Length(*Right.second);
+    return Length(*Left.State) < Length(*Right.State);
   };
   const auto Longest =
       std::max_element(Backlogged.begin(), Backlogged.end(), Shorter);
-  return Longest == Backlogged.end() ? nullptr : Longest->second;
+  return Longest == Backlogged.end() ? nullptr : Longest->State;
 }
 
 void fair_queue::grantWaiting(boot_time Now, decisions &Decisions) {
@@ -201,11 +201,16 @@
     grantNext(Now, Decisions);
 }
 
-/// Grants the backlogged workspace with the least start tag, or refuses its
-/// oldest requests when they are late.
+/// Grants the oldest request of the backlogged workspace with the least start
+/// tag, after refusing those before it that are late.
 void fair_queue::grantNext(boot_time Now, decisions &Decisions) {
-  workspace_state &State = *Backlogged.begin()->second;
-  refuseLateOf(State, Now, Decisions);
+  workspace_state &State = *Backlogged.begin()->State;
+  while (!State.Waiting.empty() &&
+         isLate(State, State.Waiting.front().Deadline, Now)) {
+    Decisions.push_back(refuseForDeadline(State.Waiting.front()));
+    State.Waiting.pop_front();
+  }
+  dequeued(State);
   if (State.Waiting.empty())
     return;
   waiting_request Next = std::move(State.Waiting.front());
@@ -226,8 +231,8 @@
 void fair_queue::refuseLate(boot_time Now, decisions &Decisions) {
   std::vector<workspace_state *> States;
   States.reserve(Backlogged.size());
-  for (const auto &[Start, State] : Backlogged)
-    States.push_back(State);
+  for (const backlog_entry &Entry : Backlogged)
+    States.push_back(Entry.State);
   for (workspace_state *State : States)
     refuseLateOf(*State, Now, Decisions);
 }
@@ -240,22 +245,25 @@
   std::erase_if(State.Waiting, [&](waiting_request &Request) {
     if (!isLate(State, Request.Deadline, Now))
       return false;
-    WaitingTickets.erase(Request.Ticket);
-    ++Counters.RefusedDeadline;
-    Decisions.push_back(
-        {std::move(Request.OnDecision), Request.Ticket,
-         common::makeError(error_kind::QueueDeadlineExceeded,
-                           "waited for a slot until it was too late")});
+    Decisions.push_back(refuseForDeadline(Request));
     return true;
   });
   dequeued(State);
 }
 
+fair_queue::decision fair_queue::refuseForDeadline(waiting_request &Request) {
+  WaitingTickets.erase(Request.Ticket);
+  ++Counters.RefusedDeadline;
+  return {std::move(Request.OnDecision), Request.Ticket,
+          common::makeError(error_kind::QueueDeadlineExceeded,
+                            "waited for a slot until it was too late")};
+}
+
 void fair_queue::setNextStart(workspace_state &State, tag Start) {
-  const bool WasBacklogged = Backlogged.erase({State.NextStart, &State}) > 0;
+  const bool WasBacklogged = Backlogged.erase(entryOf(State)) > 0;
   State.NextStart = Start;
   if (WasBacklogged)
-    Backlogged.emplace(Start, &State);
+    Backlogged.insert(entryOf(State));
 }
 
 /// Replaces the charge that was assumed at the grant by the real one.
--- a/Source/Core/Admission/FairQueue.h
+++ b/Source/Core/Admission/FairQueue.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -127,6 +128,8 @@
   };
 
   struct workspace_state {
+    /// Breaks ties between equal tags in the order of first use.
+    uint64_t Number = 0;
     double Weight = 1;
     std::deque<waiting_request> Waiting;
     size_t Running = 0;
@@ -137,6 +140,16 @@
     common::boot_time LastUse;
   };
 
+  struct backlog_entry {
+    tag Start;
+    uint64_t Number;
+    workspace_state *State;
+
+    bool operator<(const backlog_entry &Other) const {
+      return std::tie(Start, Number) < std::tie(Other.Start, Other.Number);
+    }
+  };
+
   struct running_request {
     workspace_state *Workspace;
     common::boot_time Granted;
@@ -152,6 +165,10 @@
 
   using decisions = std::vector<decision>;
 
+  static backlog_entry entryOf(workspace_state &State) {
+    return {State.NextStart, State.Number, &State};
+  }
+
   workspace_state &stateOf(std::string_view Name, double Weight)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void enqueue(workspace_state &State, waiting_request Request)
@@ -168,6 +185,8 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void refuseLateOf(workspace_state &State, common::boot_time Now,
                     decisions &Decisions) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  decision refuseForDeadline(waiting_request &Request)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void setNextStart(workspace_state &State, tag Start)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void settleCharge(const running_request &Request, slot_use Use,
@@ -184,8 +203,7 @@
   absl::flat_hash_map<std::string, std::unique_ptr<workspace_state>>
       Workspaces ABSL_GUARDED_BY(Mutex);
   /// Workspaces with waiting requests, by the start of the next one.
-  absl::btree_set<std::pair<tag, workspace_state *>>
-      Backlogged ABSL_GUARDED_BY(Mutex);
+  absl::btree_set<backlog_entry> Backlogged ABSL_GUARDED_BY(Mutex);
   absl::flat_hash_map<ticket, workspace_state *>
       WaitingTickets ABSL_GUARDED_BY(Mutex);
   absl::flat_hash_map<ticket, running_request> Running ABSL_GUARDED_BY(Mutex);
@@ -193,6 +211,7 @@
   /// Smoothed slot time over all workspaces in microseconds.
   double SlotTime ABSL_GUARDED_BY(Mutex);
   common::boot_time LastSweep ABSL_GUARDED_BY(Mutex);
+  uint64_t NextWorkspace ABSL_GUARDED_BY(Mutex) = 0;
   ticket NextTicket ABSL_GUARDED_BY(Mutex) = 1;
   fair_queue_counters Counters ABSL_GUARDED_BY(Mutex);
 };
--- a/Source/Core/Admission/LimitRule.cpp
+++ b/Source/Core/Admission/LimitRule.cpp
@@ -5,27 +5,20 @@
 namespace magnolia::admission {
 namespace {
 
-constexpr double FastSmoothing = 0.2;
-constexpr double SlowSmoothing = 0.01;
+constexpr double FastSmoothing = 0.05;
+constexpr double SlowSmoothing = 0.002;
 
-/// Added to the limit over one round of as many requests as it allows.
-constexpr double IncreasePerRound = 0.1;
+/// Part of an instance's share that one success adds to the limit.
+constexpr double IncreasePart = 0.02;
 constexpr double RefusalFactor = 0.85;
 constexpr double LatencyFactor = 0.95;
 /// Latency above this multiple of its slow average is taken for queueing.
-constexpr double QueueingRatio = 2.0;
-
-constexpr double GradientSmoothing = 0.1;
-constexpr double GradientAllowance = 0.1;
-constexpr double LeastGradient = 0.5;
+constexpr double QueueingRatio = 2.5;
 
 void observeLatency(limit_state &State, double Micros) {
   if (State.SlowLatency == 0)
     State.SlowLatency = State.FastLatency = Micros;
   State.FastLatency += FastSmoothing * (Micros - State.FastLatency);
-  // The slow average falls at once, so that a start under load is unlearnt.
-  if (State.FastLatency < State.SlowLatency)
-    State.SlowLatency = State.FastLatency;
   State.SlowLatency += SlowSmoothing * (Micros - State.SlowLatency);
 }
 
@@ -56,31 +49,13 @@
   if (State.FastLatency > QueueingRatio * State.SlowLatency)
     return decrease(State, LatencyFactor, Sample.Now);
   if (inUse(State, Sample))
-    setLimit(State,
-             State.Limit + IncreasePerRound / std::max(1.0, State.Limit));
-}
-
-void applyGradient(limit_state &State, const limit_sample &Sample) {
-  if (Sample.Outcome == target_outcome::Failed)
-    return;
-  double Gradient = LeastGradient;
-  if (Sample.Outcome == target_outcome::Succeeded) {
-    observeLatency(State, static_cast<double>(Sample.Latency.count()));
-    Gradient =
-        std::clamp(State.SlowLatency / State.FastLatency, LeastGradient, 1.0);
-    if (!inUse(State, Sample))
-      return;
-  }
-  const double Wanted = State.Limit * Gradient + GradientAllowance;
-  setLimit(State, State.Limit + GradientSmoothing * (Wanted - State.Limit));
+    setLimit(State, State.Limit + IncreasePart * State.Share);
 }
 
 } // namespace
 
 limit_rule additiveIncreaseRule() { return applyAdditive; }
 
-limit_rule gradientRule() { return applyGradient; }
-
 limit_rule fixedRule() {
   return [](limit_state &, const limit_sample &) {};
 }
--- a/Source/Core/Admission/LimitRule.h
+++ b/Source/Core/Admission/LimitRule.h
@@ -31,6 +31,8 @@
 /// where more instances than slots share a target, each has a part of a slot.
 struct limit_state {
   double Limit = 1;
+  /// The target's slots divided by the instances that use it.
+  double Share = 1;
   double Lowest = 0.1;
   double Highest = 1;
   /// Smoothed latency in microseconds, and its slow average.
@@ -47,11 +49,6 @@
 /// refusal or when latency rises well above its slow average.
 limit_rule additiveIncreaseRule();
 
-/// Scales the limit by the ratio of slow to fast latency, with a constant
-/// allowance for queueing at the target; a refusal counts as a latency that
-/// doubled.
-limit_rule gradientRule();
-
 /// Keeps the limit as it is.
 limit_rule fixedRule();
 
