--- a/Source/Magnoliad/Gateway.cpp
+++ b/Source/Magnoliad/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "Magnoliad/Gateway.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "Common/Digest.h"
 #include "Common/ErrorKind.h"
@@ -19,6 +20,8 @@
 constexpr std::string_view DirectoryPath = "/.magnolia/directory";
 constexpr std::string_view OwnPathPrefix = "/.magnolia/";
 
+constexpr std::string_view IdempotencyHeader = "Idempotency-Key";
+
 /// Outcomes in logs and metrics beside the names of the error table.
 constexpr std::string_view SuccessOutcome = "ok";
 constexpr std::string_view BrokenOutcome = "answer_broken_off";
@@ -29,6 +32,13 @@
 /// Body bytes that wait in memory between caller and target.
 constexpr size_t PipeBytes = size_t{256} * 1024;
 
+/// Boot-clock microseconds at which each attempt was paid for.
+std::string spentText(const forward_report &Report) {
+  return absl::StrJoin(Report.Spent, ",", [](std::string *Out, boot_time Time) {
+    absl::StrAppend(Out, Time.time_since_epoch().count());
+  });
+}
+
 } // namespace
 
 /// What is known of one request while it is served; recorded when the last part
@@ -47,6 +57,9 @@
   std::string_view Outcome = SuccessOutcome;
   contract::snapshot_ptr Snapshot;
   std::optional<rate_permit> Permit;
+  std::optional<request::claim> Claim;
+  /// Of the answer, once there is one.
+  int HttpStatus = 0;
   forward_request Request;
   forward_report Report;
 };
@@ -93,8 +106,7 @@
 }
 
 absl::Status gateway::authorize(std::string_view Secret, visit &Visit) const {
-  const contract::key *Key =
-      Visit.Snapshot->findKey(common::sha256Hex(Secret));
+  const contract::key *Key = Visit.Snapshot->findKey(common::sha256Hex(Secret));
   if (!Key)
     return makeError(error_kind::KeyUnknown, "the key is unknown or revoked");
   Visit.KeyId = Key->Id;
@@ -125,9 +137,9 @@
   const limit_settings &Limits = Settings.Limits;
   const auto Length = Exchange.bodyLength();
   if (Length.value_or(0) > Limits.BodyBytes)
-    return makeError(error_kind::BodyTooLarge,
-                     absl::StrCat("the body is above ", Limits.BodyBytes,
-                                  " bytes"));
+    return makeError(
+        error_kind::BodyTooLarge,
+        absl::StrCat("the body is above ", Limits.BodyBytes, " bytes"));
   if (!Exchange.hasBody())
     return absl::OkStatus();
   if (!Length || *Length > Limits.BufferedBodyBytes) {
@@ -162,8 +174,11 @@
     Status = readBody(Exchange, *Visit);
   if (Status.ok() && Keyed)
     Status = admit(*Visit);
+  if (Status.ok())
+    Status = claimKey(*Visit);
   if (Status.ok())
     Status = forward(Exchange, Visit);
+  finishClaim(*Visit, Status);
   if (Visit->Permit)
     Visit->Permit->Cancel();
   return Status;
@@ -178,15 +193,54 @@
   return absl::OkStatus();
 }
 
-bool gateway::spend(visit &Visit) const {
+absl::Status gateway::claimKey(visit &Visit) const {
+  const forward_request &Request = Visit.Request;
+  const auto Key = http::findHeader(Request.Head->Headers, IdempotencyHeader);
+  if (!Key || Request.Route->Repeatable)
+    return absl::OkStatus();
+  // A body that streams is not there yet and stays out of the fingerprint.
+  const std::string Fingerprint = request::fingerprintOf(
+      Request.Head->Method, Request.Head->Target, Request.Body);
+  auto Claim = Hooks.ClaimKey(
+      {Request.Workspace, Request.Route->Name, std::string(*Key)}, Fingerprint,
+      Request.Deadline);
+  if (!Claim.ok())
+    return Claim.status();
+  Visit.Claim = *std::move(Claim);
+  return absl::OkStatus();
+}
+
+void gateway::finishClaim(visit &Visit, const absl::Status &Status) const {
+  if (!Visit.Claim)
+    return;
+  const common::execution Execution =
+      Status.ok() ? common::execution::Ran
+                  : common::answerFor(common::kindOf(Status)).Execution;
+  Hooks.FinishClaim(*Visit.Claim, Execution, Visit.HttpStatus);
+}
+
+absl::Status gateway::spend(visit &Visit) const {
+  absl::Status Spent = spendRight(Visit);
+  if (Spent.ok())
+    Visit.Report.Spent.push_back(boot_clock::now());
+  return Spent;
+}
+
+absl::Status gateway::spendRight(visit &Visit) const {
   if (Visit.Request.Workspace.empty())
-    return true;
+    return absl::OkStatus();
   // Targets count every attempt, so a retry needs a right of its own.
-  if (!Visit.Permit && !admit(Visit).ok())
-    return false;
+  if (!Visit.Permit) {
+    absl::Status Admitted = admit(Visit);
+    if (!Admitted.ok())
+      return Admitted;
+  }
   const rate_permit Permit = std::move(*Visit.Permit);
   Visit.Permit.reset();
-  return Permit.Spend();
+  if (Permit.Spend())
+    return absl::OkStatus();
+  return makeError(error_kind::RateUnavailable,
+                   "the right to send the request has ended");
 }
 
 absl::Status gateway::forward(http::http_exchange &Exchange,
@@ -206,6 +260,7 @@
   if (!Answer.ok())
     return Answer.status();
 
+  Visit->HttpStatus = Answer->Status;
   const auto Produce = std::move(Answer->Produce);
   Exchange.answer(http::streamed_answer{
       Answer->Status, std::move(Answer->Headers), Answer->BodyLength,
@@ -242,7 +297,8 @@
                {"key", Visit.KeyId},
                {"outcome", std::string(Visit.Outcome)},
                {"target", Visit.Report.Target},
-               {"attempts", std::to_string(Visit.Report.Attempts)},
+               {"attempts", std::to_string(Visit.Report.Spent.size())},
+               {"spent_us", spentText(Visit.Report)},
                {"micros", std::to_string(Latency.count())}});
 }
 
--- a/Source/StandIns/FaultProxy/LinkFaults.cpp
+++ b/Source/StandIns/FaultProxy/LinkFaults.cpp
@@ -38,6 +38,8 @@
     Faults.DropReplies = Value.get<bool>();
   else if (Name == "reset")
     Command.Reset = Value.get<bool>();
+  else if (Name == "forward")
+    Command.Forward = Value.get<std::string>();
   else if (Name != "clear")
     return absl::InvalidArgumentError("no such field: " + Name);
   return absl::OkStatus();
@@ -51,7 +53,7 @@
     if (Root.value("clear", false))
       Command.Faults = {};
     for (const auto &[Name, Value] : Root.items()) {
-      const absl::Status Status = applyField(Name, Value, Command);
+      absl::Status Status = applyField(Name, Value, Command);
       if (!Status.ok())
         return Status;
     }
