--- a/Source/Benchmarks/Admission/FairnessExperiment.cpp
+++ b/Source/Benchmarks/Admission/FairnessExperiment.cpp
@@ -143,7 +143,10 @@
   compare(Largest, (Name + ": the largest at four times its rate").c_str());
   fleet_model Skewed = Busy;
   Skewed.EntryInstances = 4;
-  compare(Skewed, (Name + ": the third at six times its rate, all callers at four instances").c_str());
+  compare(Skewed,
+          (Name +
+           ": the third at six times its rate, all callers at four instances")
+              .c_str());
   fleet_model Heavy = Model;
   Heavy.Workspaces[2].Work = 8;
   compare(Heavy,
