--- a/Source/Net/Peer/PeerLoop.cpp
+++ b/Source/Net/Peer/PeerLoop.cpp
@@ -177,10 +177,14 @@
       continue;
     }
     const link &Link = Links[Peer];
-    if (Link.ConnectionId != 0)
-      pump(*Connections.at(Link.ConnectionId));
-    else if (Link.Retry == 0)
+    if (Link.ConnectionId != 0) {
+      connection &Connection = *Connections.at(Link.ConnectionId);
+      // The peer may have been forgotten and used again in between.
+      Table.setConnected(Peer, !Connection.Connecting);
+      pump(Connection);
+    } else if (Link.Retry == 0) {
       connectLink(Peer);
+    }
   }
 }
 
