Count the time of an attempt that lost against its hedge

Cause: a hedge cancels the attempt at a target that is cut off in one direction long before that attempt counts as a stall, and cancelled attempts were no evidence, so hedging hid the target. Ruled out: the link (requests to it did hang) and the floor (3 of 6 may be avoided). The time that the loser took now counts as a lower bound of its latency; a caller that leaves still counts for nothing.

Before: scenario 'Callers of a service with gray targets', 'cut off in one direction' failed after 60 s; after: the whole case passes (689 checks).

--- a/Source/Magnoliad/ForwardSession.cpp
+++ b/Source/Magnoliad/ForwardSession.cpp
@@ -55,7 +55,7 @@
              : admission::target_outcome::Failed;
 }
 
-/// Whether the caller or a faster attempt ended it, which is no evidence.
+/// Whether the caller or a faster attempt ended it.
 bool wasGivenUp(const request::attempt_outcome &Outcome) {
   return Outcome.Error == error_kind::CallerGone;
 }
@@ -80,6 +80,18 @@
                         Now);
 }
 
+void forward_session::loseRace(const target::choice &Choice,
+                               const request::attempt_outcome &Outcome) {
+  const boot_time Now = boot_clock::now();
+  // A faster attempt ended this one. That it took at least so long counts:
+  // without it hedges would hide a target that never answers.
+  target::observation Observation;
+  Observation.Latency = Outcome.Times.Finished - Outcome.Times.Started;
+  Selector.finish(Choice, Observation, Now);
+  Turn->limits().finish(Choice.Target, admission::target_outcome::Failed, {},
+                        Now);
+}
+
 std::optional<target::choice>
 forward_session::chooseWithRoom(absl::Span<const std::string> Tried) {
   std::vector<std::string> Excluded(Tried.begin(), Tried.end());
@@ -123,7 +135,10 @@
     Running.erase(Found);
   }
   if (wasGivenUp(Outcome)) {
-    giveUp(*Choice);
+    if (CallerLeft)
+      giveUp(*Choice);
+    else
+      loseRace(*Choice, Outcome);
     return;
   }
   const boot_time Now = boot_clock::now();
--- a/Source/Magnoliad/ForwardSession.h
+++ b/Source/Magnoliad/ForwardSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <functional>
 #include <string>
 
@@ -41,15 +42,21 @@
   void ended(const std::string &Target,
              const request::attempt_outcome &Outcome);
 
+  /// The caller has left: attempts that end now say nothing of their targets.
+  void callerLeft() { CallerLeft = true; }
+
 private:
   std::optional<target::choice>
   chooseWithRoom(absl::Span<const std::string> Tried);
   void giveUp(const target::choice &Choice);
+  void loseRace(const target::choice &Choice,
+                const request::attempt_outcome &Outcome);
 
   const std::string Service;
   target::target_selector &Selector;
   const queue_turn_ptr Turn;
   const latency_hook OnLatency;
+  std::atomic<bool> CallerLeft{false};
   absl::Mutex Mutex;
   /// By the target's name; a request goes to a target at most once.
   absl::flat_hash_map<std::string, target::choice>
--- a/Source/Magnoliad/Forwarder.cpp
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -141,7 +141,8 @@
   };
   const auto Forwarder = std::make_shared<net::forwarder>(
       Upstream, toUpstream(Request), makePlan(Request), std::move(Hooks));
-  OnCancel([Weak = std::weak_ptr<net::forwarder>(Forwarder)] {
+  OnCancel([Session, Weak = std::weak_ptr<net::forwarder>(Forwarder)] {
+    Session->callerLeft();
     if (const auto Live = Weak.lock())
       Live->callerGone();
   });
@@ -160,7 +161,10 @@
   Answer.BodyLength = Result.Head.BodyLength;
   const auto Stream =
       std::make_shared<net::answer_stream>(*std::move(Result.Answer));
-  OnCancel([Stream] { Stream->cancel(); });
+  OnCancel([Session, Stream] {
+    Session->callerLeft();
+    Stream->cancel();
+  });
   const boot_time Deadline = Request.Deadline;
   // Nothing asks for a body that is not there, yet the attempt's end counts.
   if (!hasBody(Request, Result.Head))
--- a/Source/ScenarioTests/Fleet.cpp
+++ b/Source/ScenarioTests/Fleet.cpp
@@ -132,8 +132,8 @@
   for (int Index = 1; Index <= Plan.Targets; ++Index)
     launch(targetName(Index), "magnolia-target",
            absl::StrCat("listen: ", AnyPort, "\nname: ", targetName(Index),
-                        "\nslots: ", Plan.Slots,
-                        "\nwork_time: ", Plan.WorkTime, "\n"));
+                        "\nslots: ", Plan.Slots, "\nwork_time: ", Plan.WorkTime,
+                        "\n"));
   for (int Index = 1; Index <= Plan.Targets; ++Index)
     awaitPorts(targetName(Index));
 }
