--- a/Source/Core/Platform/ConfigFollower.cpp
+++ b/Source/Core/Platform/ConfigFollower.cpp
@@ -41,19 +41,38 @@
       LastNonce(Hooks.Random()) {}
 
 void config_follower::setPeers(std::vector<std::string> Peers) {
+  if (isFresh())
+    ToldPeers = 0;
+  else
+    Peers.insert(Peers.end(), Ring.begin(), Ring.end());
   std::sort(Peers.begin(), Peers.end());
+  Peers.erase(std::unique(Peers.begin(), Peers.end()), Peers.end());
   std::vector<std::string> Sorted = Ring;
   std::sort(Sorted.begin(), Sorted.end());
-  Freshness.setPeerCount(Peers.size());
-  if (Peers == Sorted)
+  if (Peers == Sorted) {
+    countPeers(0);
     return;
+  }
   for (size_t Left = Peers.size(); Left > 1; --Left)
     std::swap(Peers[Left - 1], Peers[Hooks.Random() % Left]);
   Ring = std::move(Peers);
   NextInRing = 0;
+  countPeers(0);
+}
+
+void config_follower::countPeers(uint64_t Told) {
+  if (!isFresh())
+    ToldPeers = std::max(ToldPeers, Told);
+  Freshness.setPeerCount(std::max<size_t>(Ring.size(), ToldPeers));
+}
+
+bool config_follower::isFresh() const {
+  const auto Since = Freshness.completeSince();
+  return Since && LastAdvance <= *Since + Settings.Freshness.StaleAfter;
 }
 
 void config_follower::advance(time Now) {
+  LastAdvance = Now;
   pollIfDue(Now);
   askIfDue(Now);
   Fetcher.advance(Now);
@@ -142,7 +161,9 @@
 
 void config_follower::announce() {
   for (const std::string &Peer : nextPeers())
-    Hooks.Send(Peer, config_claim{0, Current->version(), CurrentDigest, {}});
+    Hooks.Send(
+        Peer,
+        config_claim{0, Current->version(), CurrentDigest, {}, Ring.size()});
 }
 
 std::vector<std::string> config_follower::nextPeers() {
@@ -192,6 +213,7 @@
 config_claim config_follower::claim(time Now, uint64_t Nonce) const {
   config_claim Claim;
   Claim.Nonce = Nonce;
+  Claim.Peers = std::max<uint64_t>(Ring.size(), ToldPeers);
   if (!Current)
     return Claim;
   Claim.Version = Current->version();
@@ -216,6 +238,7 @@
   if (Ask != Asks.end() && Ask->second.Peer == Peer) {
     const time Asked = Ask->second.Asked;
     Asks.erase(Ask);
+    countPeers(Claim.Peers);
     // The answer was sent after the ask, so what it says is at most this old.
     if (Claim.Age && *Claim.Age >= microseconds::zero())
       Freshness.addClaim(Claim.Version, Asked - *Claim.Age);
--- a/Source/Core/Quota/ShareKeeperClaims.cpp
+++ b/Source/Core/Quota/ShareKeeperClaims.cpp
@@ -23,6 +23,8 @@
   if (absl::Status Status = scanShares(); !Status.ok())
     return Status;
   NextRefresh = Now.Boot + Options.RefreshPeriod;
+  if (Now.Boot < UsableFrom)
+    NextRefresh = std::min(NextRefresh, UsableFrom);
   // Only what the scan shows is used: a slot that this step claims has its
   // tokens counted from the next step's time, when the claim is surely done.
   publish(*Leases, Now);
@@ -209,7 +211,10 @@
       if (holds(It->second))
         Mine.push_back(It->first);
     }
-    if (Mine.empty())
+    const bool Underway = std::any_of(Mine.begin(), Mine.end(), [&](slot Slot) {
+      return Handovers.contains(Slot);
+    });
+    if (Mine.empty() || Underway)
       continue;
     const std::vector<size_t> Order = homeOrder(P, Live);
     const size_t Preferred = std::min<size_t>(Layout.SlotCount, Order.size());
--- a/Source/UnitTests/Platform/FollowerFleet.h
+++ b/Source/UnitTests/Platform/FollowerFleet.h
@@ -37,6 +37,10 @@
   void pause(size_t Instance, bool Paused);
   /// Replaces the instance by a fresh process of the same name.
   void restart(size_t Instance);
+  /// The same, by a process that knows only \p Peers.
+  void restart(size_t Instance, const std::vector<size_t> &Peers);
+  /// Sets which others \p Instance thinks to live.
+  void setPeers(size_t Instance, const std::vector<size_t> &Peers);
   /// Of a thousand messages between instances, how many are lost.
   void setLoss(unsigned PerMille) { LossPerMille = PerMille; }
 
@@ -52,6 +56,10 @@
   /// Whether every running instance has \p Version in force.
   bool allHave(uint64_t Version) const;
 
+  /// Messages between instances since the start, and their encoded bytes.
+  uint64_t messages() const { return Messages; }
+  uint64_t messageBytes() const { return MessageBytes; }
+
   /// Times at which an instance put a lower version in force than before.
   uint64_t reverts() const { return Reverts; }
 
@@ -67,12 +75,14 @@
     std::vector<std::function<void()>> Waiting;
   };
 
-  void start(size_t Index);
+  using answer = std::function<void(config_follower &)>;
+
+  void start(size_t Index, const std::vector<size_t> &Peers);
+  std::vector<size_t> othersThan(size_t Index) const;
   void later(std::chrono::microseconds Delay, std::function<void()> Event);
-  void deliver(size_t Index, uint64_t Incarnation,
-               std::function<void(config_follower &)> Event);
-  void callTable(size_t Index, std::function<void(config_follower &)> Reached,
-                 std::function<void(config_follower &)> Failed);
+  void deliver(size_t Index, uint64_t Incarnation, answer Event);
+  /// Calls the platform; \p Call runs there and makes the answer.
+  void callTable(size_t Index, const std::function<answer(bool Reached)> &Call);
   void send(size_t From, const std::string &To, const config_message &Message);
   std::chrono::microseconds delay();
 
@@ -85,6 +95,8 @@
   std::map<uint64_t, time> Accepted;
   unsigned LossPerMille = 0;
   uint64_t Reverts = 0;
+  uint64_t Messages = 0;
+  uint64_t MessageBytes = 0;
 };
 
 } // namespace magnolia::platform
