Read header values as they were sent; give keys free by the verdict on all attempts

Cause: the HTTP library percent-decodes header values of requests, so a caller's '%0d%0a' became a line end in what was forwarded (HttpTests 'reads header values as they were sent' failed before and passes now).

--- a/Source/Magnoliad/ClaimAgent.cpp
+++ b/Source/Magnoliad/ClaimAgent.cpp
@@ -62,6 +62,10 @@
   case error_kind::IdempotencyInProgress:
     return common::makeError(*Answer.Refusal,
                              "a request with this key may be running");
+  case error_kind::IdempotencyUnknown:
+    return common::makeError(
+        *Answer.Refusal,
+        "nobody knows whether the request with this key has run");
   case error_kind::IdempotencyUnavailable:
     return common::makeError(*Answer.Refusal,
                              "the key cannot be checked at present");
--- a/Source/Magnoliad/Forwarder.cpp
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -149,6 +149,7 @@
 
   net::forward_result Result = run(*Forwarder, Request);
   Report.Target = Result.Target;
+  Report.Execution = Result.Verdict.Execution;
   if (!Result.Answer)
     return common::makeError(
         Result.Verdict.Error.value_or(common::error_kind::Internal),
--- a/Source/Magnoliad/Forwarder.h
+++ b/Source/Magnoliad/Forwarder.h
@@ -9,6 +9,7 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 
+#include "Common/ErrorKind.h"
 #include "Common/ShardedMap.h"
 #include "Common/Time.h"
 #include "Contract/Manifest.h"
@@ -46,6 +47,8 @@
 /// What became of a request, for the log.
 struct forward_report {
   std::string Target;
+  /// Whether a target ran the request, where no answer came.
+  common::execution Execution = common::execution::NotRun;
   /// When the right to send each attempt was spent.
   std::vector<common::boot_time> Spent;
 };
--- a/Source/Magnoliad/Gateway.cpp
+++ b/Source/Magnoliad/Gateway.cpp
@@ -214,8 +214,7 @@
   if (!Visit.Claim)
     return;
   const common::execution Execution =
-      Status.ok() ? common::execution::Ran
-                  : common::answerFor(common::kindOf(Status)).Execution;
+      Status.ok() ? common::execution::Ran : Visit.Report.Execution;
   Hooks.FinishClaim(*Visit.Claim, Execution, Visit.HttpStatus);
 }
 
--- a/Source/Net/Http/HeadInspector.cpp
+++ b/Source/Net/Http/HeadInspector.cpp
@@ -51,6 +51,25 @@
   bool NonEmpty = false;
 };
 
+std::string_view valueOf(std::string_view Line, size_t Colon) {
+  return common::toStd(
+      absl::StripAsciiWhitespace(toAbsl(Line.substr(Colon + 1))));
+}
+
+/// Calls \p Fn with each line after the first, up to the empty one, until it
+/// returns false.
+template <typename Function>
+void forEachField(std::string_view Head, Function &&Fn) {
+  std::string_view Rest = Head.substr(Head.find(LineEnd) + LineEnd.size());
+  while (true) {
+    const size_t End = Rest.find(LineEnd);
+    const std::string_view Line = Rest.substr(0, End);
+    if (Line.empty() || !Fn(Line))
+      return;
+    Rest.remove_prefix(End + LineEnd.size());
+  }
+}
+
 absl::Status inspectField(std::string_view Line, framing &Framing) {
   const size_t Colon = Line.find(':');
   if (Colon == std::string_view::npos)
@@ -58,8 +77,7 @@
   const std::string_view Name = Line.substr(0, Colon);
   if (!isToken(Name))
     return bad("a header name with bytes that are not allowed");
-  const std::string_view Value =
-      common::toStd(absl::StripAsciiWhitespace(toAbsl(Line.substr(Colon + 1))));
+  const std::string_view Value = valueOf(Line, Colon);
   if (hasControlByte(Value))
     return bad("a header value with control bytes");
   if (sameHeader(Name, "Content-Length")) {
@@ -100,6 +118,16 @@
   return Position + HeadEnd.size();
 }
 
+header_list readFields(std::string_view Head) {
+  header_list Fields;
+  forEachField(Head, [&](std::string_view Line) {
+    const size_t Colon = Line.find(':');
+    Fields.emplace_back(Line.substr(0, Colon), valueOf(Line, Colon));
+    return true;
+  });
+  return Fields;
+}
+
 absl::Status inspectHead(std::string_view Head) {
   const size_t FirstEnd = Head.find(LineEnd);
   const std::string_view RequestLine = Head.substr(0, FirstEnd);
@@ -110,18 +138,12 @@
     return bad("a request line without a method");
 
   framing Framing;
-  std::string_view Rest = Head.substr(FirstEnd + LineEnd.size());
-  while (true) {
-    const size_t End = Rest.find(LineEnd);
-    const std::string_view Line = Rest.substr(0, End);
-    if (Line.empty())
-      break;
-    absl::Status Status = inspectField(Line, Framing);
-    if (!Status.ok())
-      return Status;
-    Rest.remove_prefix(End + LineEnd.size());
-  }
-  return inspectFraming(Method, Framing);
+  absl::Status Status;
+  forEachField(Head, [&](std::string_view Line) {
+    Status = inspectField(Line, Framing);
+    return Status.ok();
+  });
+  return Status.ok() ? inspectFraming(Method, Framing) : Status;
 }
 
 } // namespace magnolia::http
--- a/Source/Net/Http/LibraryServer.cpp
+++ b/Source/Net/Http/LibraryServer.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/numbers.h>
 
 #include "Common/ErrorKind.h"
+#include "Net/Http/HeadInspector.h"
 
 namespace magnolia::http {
 namespace {
@@ -229,8 +230,6 @@
   Head.Target = Request.target;
   Head.Path = Request.target.substr(0, Request.target.find('?'));
   Head.Caller = Context.Connection.caller();
-  for (const auto &[Name, Value] : Request.headers)
-    Head.Headers.emplace_back(Name, Value);
 
   uint64_t Length = 0;
   const auto Declared = findHeader(Head.Headers, "Content-Length");
@@ -304,6 +303,7 @@
 
 bool library_server::serveOne(connection &Connection, const arm_gone &ArmGone) {
   context Context(Connection, &ArmGone);
+  Context.Head.Headers = readFields(Connection.head());
   return process(Context, Draining);
 }
 
--- a/Source/UnitTests/Net/Http/HttpServerTest.cpp
+++ b/Source/UnitTests/Net/Http/HttpServerTest.cpp
@@ -86,6 +86,16 @@
     CHECK_FALSE(contains(Broken, "0\r\n\r\n"));
   }
 
+  SUBCASE("reads header values as they were sent, without decoding them") {
+    const auto Server = serverWith([](http_exchange &Exchange) {
+      const auto Value = findHeader(Exchange.request().Headers, "X-Raw");
+      Exchange.answer(whole_answer{200, {}, std::string(*Value) + "!"});
+    });
+    raw_caller Caller(Server->address());
+    Caller.send("GET / HTTP/1.1\r\nX-Raw: a%0d%0aX-Evil: 1\r\n\r\n");
+    CHECK(contains(Caller.receive("!"), "\r\n\r\na%0d%0aX-Evil: 1!"));
+  }
+
   SUBCASE("passes each header of a streamed answer on once") {
     const auto Server = serverWith([](http_exchange &Exchange) {
       Exchange.answer(
