--- a/Source/Magnoliad/Settings.cpp
+++ b/Source/Magnoliad/Settings.cpp
@@ -1,5 +1,7 @@
 #include "Magnoliad/Settings.h"
 
+#include "Instance/Membership.h"
+
 namespace magnolia::daemon {
 namespace {
 
@@ -65,6 +67,11 @@
       readMilliseconds(Section, "heartbeat_period", Defaults.HeartbeatPeriod);
   Follow.StaleAfter =
       readMilliseconds(Section, "stale_after", Defaults.StaleAfter);
+  // Peers are given up by silence only after the knowledge went stale, so that
+  // a minority cannot become a majority by forgetting the others.
+  if (Follow.StaleAfter >= instance::membership_settings{}.GoneAfter)
+    Section.fail("stale_after", "must be shorter than the 30s after which a "
+                                "silent instance is given up");
   Follow.PlatformTimeout =
       readMilliseconds(Section, "platform_timeout", Defaults.PlatformTimeout);
   Section.finish();
--- a/Source/UnitTests/Platform/FollowerFleet.cpp
+++ b/Source/UnitTests/Platform/FollowerFleet.cpp
@@ -80,6 +80,7 @@
 void follower_fleet::setPeers(size_t Instance,
                               const std::vector<size_t> &Peers) {
   std::vector<std::string> Names;
+  Names.reserve(Peers.size());
   for (const size_t Peer : Peers)
     Names.push_back(std::to_string(Peer));
   Instances[Instance].Follower->setPeers(std::move(Names));
