Count latencies in plain bins over the library's axis

Cause: boost::histogram 1.74's multi_index trips -Wmaybe-uninitialized under the sanitize preset, which then does not build. Ruled out: reading by at() instead of indexed(), which trips it too; turning the warning off.

With the sanitize preset, PeerTests, AdmissionTests and LoadTests pass without a report.

--- a/Source/MagnoliaLoad/Latency.cpp
+++ b/Source/MagnoliaLoad/Latency.cpp
@@ -1,8 +1,11 @@
 #include "MagnoliaLoad/Latency.h"
 
+#include <algorithm>
 #include <cmath>
+#include <functional>
+#include <vector>
 
-#include <boost/histogram.hpp>
+#include <boost/histogram/axis/regular.hpp>
 
 namespace magnolia::load {
 namespace {
@@ -19,10 +22,11 @@
 
 } // namespace
 
+/// The library's axis over plain counts; the first and last stand for values
+/// below and above its range.
 struct latency_histogram::bins {
-  decltype(histogram::make_histogram(
-      log_axis(BinCount, LeastMs, MostMs))) Counts =
-      histogram::make_histogram(log_axis(BinCount, LeastMs, MostMs));
+  log_axis Axis = log_axis(BinCount, LeastMs, MostMs);
+  std::vector<uint64_t> Counts = std::vector<uint64_t>(BinCount + 2);
 };
 
 latency_histogram::latency_histogram() : Bins(std::make_unique<bins>()) {}
@@ -32,23 +36,27 @@
 latency_histogram::operator=(latency_histogram &&) noexcept = default;
 
 void latency_histogram::add(std::chrono::microseconds Latency) {
-  Bins->Counts(static_cast<double>(Latency.count()) / MicrosPerMs);
+  const int Bin =
+      Bins->Axis.index(static_cast<double>(Latency.count()) / MicrosPerMs);
+  ++Bins->Counts.at(static_cast<size_t>(Bin + 1));
   ++Count;
 }
 
 void latency_histogram::merge(const latency_histogram &Other) {
-  Bins->Counts += Other.Bins->Counts;
+  std::transform(Bins->Counts.begin(), Bins->Counts.end(),
+                 Other.Bins->Counts.begin(), Bins->Counts.begin(),
+                 std::plus<>());
   Count += Other.Count;
 }
 
 double latency_histogram::quantileMs(double Part) const {
   const double Wanted = std::ceil(Part * static_cast<double>(Count));
   double Seen = 0;
-  for (auto &&Bin :
-       histogram::indexed(Bins->Counts, histogram::coverage::all)) {
-    Seen += static_cast<double>(*Bin);
+  for (size_t Index = 0; Index < Bins->Counts.size(); ++Index) {
+    Seen += static_cast<double>(Bins->Counts[Index]);
     if (Count > 0 && Seen >= Wanted)
-      return std::min(Bin.bin().upper(), MostMs);
+      return std::min(Bins->Axis.bin(static_cast<int>(Index) - 1).upper(),
+                      MostMs);
   }
   return 0;
 }
