--- a/Source/MagnoliaLoad/Latency.cpp
+++ b/Source/MagnoliaLoad/Latency.cpp
@@ -38,7 +38,7 @@
 void latency_histogram::add(std::chrono::microseconds Latency) {
   const int Bin =
       Bins->Axis.index(static_cast<double>(Latency.count()) / MicrosPerMs);
-  ++Bins->Counts.at(static_cast<size_t>(Bin + 1));
+  ++Bins->Counts.at(static_cast<size_t>(Bin) + 1);
   ++Count;
 }
 
