--- a/Source/UnitTests/Quota/FleetTest.cpp
+++ b/Source/UnitTests/Quota/FleetTest.cpp
@@ -69,6 +69,19 @@
     Fleet.stop(Index);
 }
 
+fleet_options shortLeases() {
+  fleet_options Options;
+  Options.LeaseTerm = milliseconds(600);
+  Options.RenewPeriod = milliseconds(100);
+  Options.RefreshPeriod = milliseconds(20);
+  Options.LoanTerm = milliseconds(200);
+  return Options;
+}
+
+void toggleTable(fake_fleet &Fleet, size_t Index) {
+  Fleet.at(Index).TableDown = !Fleet.at(Index).TableDown;
+}
+
 void cutOrMend(fake_fleet &Fleet, size_t Index) {
   if (Fleet.Cuts.size() > 3)
     Fleet.Cuts.clear();
@@ -105,13 +118,14 @@
   }
 
   SUBCASE("with instances that lose the table past their terms") {
-    Options.LeaseTerm = milliseconds(600);
-    Options.RenewPeriod = milliseconds(100);
-    Options.RefreshPeriod = milliseconds(20);
-    Options.LoanTerm = milliseconds(200);
-    Event = [](fake_fleet &Fleet, size_t Index) {
-      Fleet.at(Index).TableDown = !Fleet.at(Index).TableDown;
-    };
+    Options = shortLeases();
+    Event = toggleTable;
+  }
+
+  SUBCASE("with renewals that succeed while the scan after them fails") {
+    Options = shortLeases();
+    Options.TableRefused = 0.3;
+    Event = toggleTable;
   }
 
   SUBCASE("with processes suspended past their terms") {
--- a/Source/UnitTests/Quota/GateTest.cpp
+++ b/Source/UnitTests/Quota/GateTest.cpp
@@ -147,7 +147,10 @@
   SUBCASE("counts the loan's term from its request, less the drift") {
     Borrower.grant(1015, OneToken);
     const auto &Permit = std::get<permit>(Borrower.Resolved.at(0).Result);
-    CHECK_FALSE(Borrower.Gate->spend(Permit, at(1500)));
+    // The term of 500 ms less one in a thousand ends at 1499.5 ms.
+    const duration Late = std::chrono::microseconds(1499600);
+    CHECK_FALSE(Borrower.Gate->spend(
+        Permit, {common::boot_time(Late), common::wall_time(Late)}));
   }
 
   SUBCASE("takes a duplicated grant once") {
