--- a/Source/Magnoliad/QueueAgent.cpp
+++ b/Source/Magnoliad/QueueAgent.cpp
@@ -1,5 +1,7 @@
 #include "Magnoliad/QueueAgent.h"
 
+#include <cmath>
+
 #include <absl/time/time.h>
 
 #include "Common/ErrorKind.h"
@@ -75,6 +77,7 @@
   const auto Slot = std::make_shared<decision_slot>();
   admission::admission_request Request;
   Request.Workspace = Workspace;
+  Request.Weight = weightOf(Workspace);
   Request.Deadline = Deadline;
   const auto Ticket = Live->Queue.submit(
       Request, boot_clock::now(),
@@ -95,8 +98,22 @@
   return std::make_shared<queue_turn>(Live, *Ticket);
 }
 
-void queue_agent::setConfiguration(const contract::snapshot_ptr &Snapshot) {
+double queue_agent::weightOf(std::string_view Workspace) const {
+  contract::snapshot_ptr Live;
+  {
+    const absl::MutexLock Lock(&Mutex);
+    Live = Snapshot;
+  }
+  const contract::workspace *Found =
+      Live ? Live->findWorkspace(Workspace) : nullptr;
+  // Between equal weights, which cut large workspaces first, and weights by
+  // rate, which delay small ones: see docs/matters/FAIRNESS.md.
+  return Found ? std::sqrt(Found->Rate) : 1;
+}
+
+void queue_agent::setConfiguration(const contract::snapshot_ptr &Newer) {
   const absl::MutexLock Lock(&Mutex);
+  Snapshot = Newer;
   absl::flat_hash_map<std::string, service_ptr> Next;
   for (const contract::service &Service :
        Snapshot->content().Manifest.Services) {
--- a/Source/Magnoliad/QueueAgent.h
+++ b/Source/Magnoliad/QueueAgent.h
@@ -78,8 +78,12 @@
   service_ptr find(std::string_view Service) const;
   std::vector<std::pair<std::string, service_ptr>> all() const;
 
+  double weightOf(std::string_view Workspace) const;
+
   mutable absl::Mutex Mutex;
   absl::flat_hash_map<std::string, service_ptr> Services ABSL_GUARDED_BY(Mutex);
+  /// Whose workspaces give the weights.
+  contract::snapshot_ptr Snapshot ABSL_GUARDED_BY(Mutex);
 };
 
 } // namespace magnolia::daemon
