--- a/Source/Magnoliad/Forwarder.cpp
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -10,7 +10,6 @@
 namespace magnolia::daemon {
 namespace {
 
-using common::boot_clock;
 using common::boot_time;
 
 /// A hedge starts when this part of the recent answers was faster.
--- a/Source/Magnoliad/NodeImpl.cpp
+++ b/Source/Magnoliad/NodeImpl.cpp
@@ -16,7 +16,6 @@
 namespace magnolia::daemon {
 namespace {
 
-using common::boot_clock;
 using common::boot_time;
 using common::log_level;
 
@@ -152,37 +151,4 @@
                       http::portOf(Admin->address()), "\n");
 }
 
-void node::impl::addMetrics() {
-  Metrics.addReader([this](std::vector<metric_sample> &Samples) {
-    Samples.push_back({"magnolia_configuration_version",
-                       "Version of the configuration in force.",
-                       {},
-                       static_cast<double>(Config->version())});
-    Samples.push_back({"magnolia_configuration_fresh",
-                       "Whether keyed requests are served.",
-                       {},
-                       Config->isFresh() ? 1.0 : 0.0});
-    Samples.push_back({"magnolia_connections",
-                       "Open connections of callers.",
-                       {},
-                       static_cast<double>(Callers->openConnections())});
-  });
-  Metrics.addReader([this](std::vector<metric_sample> &Samples) {
-    for (const auto &Target : Selector.snapshot(boot_clock::now()))
-      Samples.push_back({"magnolia_target_standing",
-                         "1 for the standing that a target has.",
-                         {{"service", Target.Service},
-                          {"target", Target.Target},
-                          {"standing", std::string(nameOf(Target.Standing))}},
-                         1});
-  });
-  Metrics.addReader([this](std::vector<metric_sample> &Samples) {
-    for (const auto &[Service, Counters] : Queues.counters())
-      Samples.push_back({"magnolia_queue_waiting",
-                         "Requests that wait for a slot.",
-                         {{"service", Service}},
-                         static_cast<double>(Counters.Waiting)});
-  });
-}
-
 } // namespace magnolia::daemon
--- a/Source/Magnoliad/NodeImpl.h
+++ b/Source/Magnoliad/NodeImpl.h
@@ -55,6 +55,8 @@
   void shareTargets(common::boot_time Now);
   void stepRates();
   void addMetrics();
+  void addConfigSamples(std::vector<metric_sample> &Samples);
+  void addQueueSamples(std::vector<metric_sample> &Samples);
 
   void awaitPeersKnow();
   void returnRights();
--- a/Source/ScenarioTests/Fleet.cpp
+++ b/Source/ScenarioTests/Fleet.cpp
@@ -80,7 +80,7 @@
 }
 
 std::string fleet::write(const std::string &Name, const std::string &Text) {
-  const std::string Path = absl::StrCat(Directory, "/", Name);
+  std::string Path = absl::StrCat(Directory, "/", Name);
   std::ofstream(Path) << Text;
   return Path;
 }
--- a/Source/ScenarioTests/OnceScenario.cpp
+++ b/Source/ScenarioTests/OnceScenario.cpp
@@ -87,9 +87,9 @@
   AwaitMore(30);
   const auto Exchanges = Callers.stop();
   const auto Runs = Fleet.runs();
-  for (const auto &[Call, Count] : runsByCall(Runs)) {
-    CAPTURE(Call);
-    CHECK(Count == 1);
+  for (const auto &Counted : runsByCall(Runs)) {
+    CAPTURE(Counted.first);
+    CHECK(Counted.second == 1);
   }
   const auto False = falseNotRun(Exchanges, Runs);
   CAPTURE(absl::StrCat(False.size(), " ", False.empty() ? "" : False[0]));
