Share header lists and the worker pool between the rooms of Net

Both stood twice, in the servers towards callers and in the connections to targets, with conversions between them on each request. One Base room holds them now. UpstreamTests, HttpTests and the scenario of the path pass as before.

--- a/Source/Magnoliad/AdminPages.cpp
+++ b/Source/Magnoliad/AdminPages.cpp
@@ -12,7 +12,7 @@
 http::whole_answer page(int Status, std::string_view Type, std::string Body) {
   http::whole_answer Answer;
   Answer.Status = Status;
-  Answer.Headers.emplace_back("Content-Type", std::string(Type));
+  Answer.Headers.push_back({"Content-Type", std::string(Type)});
   Answer.Body = std::move(Body);
   return Answer;
 }
--- a/Source/Magnoliad/Background.h
+++ b/Source/Magnoliad/Background.h
@@ -4,14 +4,14 @@
 #include <functional>
 #include <memory>
 
-#include "Net/Http/WorkerPool.h"
+#include "Net/Base/WorkerPool.h"
 
 namespace magnolia::daemon {
 
 /// Threads for calls to the platform, which may block for seconds.
 class background {
 public:
-  background() : Workers(ThreadCount) {}
+  background() : Workers({.ThreadLimit = ThreadCount}) {}
 
   void run(std::function<void()> Job) { Workers.run(std::move(Job)); }
 
@@ -32,7 +32,7 @@
 private:
   static constexpr size_t ThreadCount = 6;
 
-  http::worker_pool Workers;
+  net::worker_pool Workers;
 };
 
 } // namespace magnolia::daemon
--- a/Source/Magnoliad/Forwarder.cpp
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -64,7 +64,7 @@
 forwarder::forwarder(net::upstream_pool &Upstream,
                      target::target_selector &Selector, queue_agent &Queues)
     : Upstream(Upstream), Selector(Selector), Queues(Queues), Budgets({}),
-      Runners(MaxStreamedBodies) {}
+      Runners({.ThreadLimit = MaxStreamedBodies}) {}
 
 std::optional<std::chrono::microseconds>
 forwarder::hedgeDelay(const std::string &Service) {
@@ -156,8 +156,7 @@
 
   forward_answer Answer;
   Answer.Status = Result.Head.Status;
-  for (auto &[Name, Value] : Result.Head.Headers)
-    Answer.Headers.emplace_back(Name, Value);
+  Answer.Headers = std::move(Result.Head.Headers);
   Answer.BodyLength = Result.Head.BodyLength;
   const auto Stream =
       std::make_shared<net::answer_stream>(*std::move(Result.Answer));
--- a/Source/Magnoliad/Forwarder.h
+++ b/Source/Magnoliad/Forwarder.h
@@ -15,8 +15,8 @@
 #include "Contract/Manifest.h"
 #include "Magnoliad/BodyPipe.h"
 #include "Magnoliad/QueueAgent.h"
+#include "Net/Base/WorkerPool.h"
 #include "Net/Http/HttpServer.h"
-#include "Net/Http/WorkerPool.h"
 #include "Net/Upstream/Forwarder.h"
 #include "Net/Upstream/UpstreamPool.h"
 #include "Request/LatencyQuantile.h"
@@ -95,7 +95,7 @@
   request::retry_budgets Budgets;
   common::sharded_map<std::string, latencies> Latencies;
   /// Runs requests whose body streams, while their own thread reads it.
-  http::worker_pool Runners;
+  net::worker_pool Runners;
 };
 
 } // namespace magnolia::daemon
--- a/Source/Magnoliad/MemberAgent.cpp
+++ b/Source/Magnoliad/MemberAgent.cpp
@@ -153,7 +153,7 @@
   const auto Keep =
       std::chrono::duration_cast<std::chrono::milliseconds>(Answer.KeepFor);
   http::whole_answer Http;
-  Http.Headers.emplace_back("Content-Type", "application/json");
+  Http.Headers.push_back({"Content-Type", "application/json"});
   Http.Body =
       nlohmann::json{{"instances", Instances}, {"keep_ms", Keep.count()}}
           .dump();
--- a/Source/Magnoliad/Refusal.cpp
+++ b/Source/Magnoliad/Refusal.cpp
@@ -25,11 +25,11 @@
   };
   http::whole_answer Answer;
   Answer.Status = Row.HttpStatus;
-  Answer.Headers.emplace_back("Content-Type", "application/json");
+  Answer.Headers.push_back({"Content-Type", "application/json"});
   if (Row.RetryAfter) {
     Error["retry_after_ms"] = Row.RetryAfter->count();
-    Answer.Headers.emplace_back("Retry-After",
-                                std::to_string(wholeSeconds(*Row.RetryAfter)));
+    Answer.Headers.push_back(
+        {"Retry-After", std::to_string(wholeSeconds(*Row.RetryAfter))});
   }
   // A detail can hold bytes of the caller that are not UTF-8.
   Answer.Body = nlohmann::json{{"error", Error}}.dump(
--- a/Source/Net/Http/Message.cpp
+++ b/Source/Net/Base/Headers.cpp
@@ -1,10 +1,10 @@
-#include "Net/Http/Message.h"
+#include "Net/Base/Headers.h"
 
 #include <absl/strings/match.h>
 
 #include "Common/StringView.h"
 
-namespace magnolia::http {
+namespace magnolia::net {
 
 bool sameHeader(std::string_view A, std::string_view B) {
   return absl::EqualsIgnoreCase(common::toAbsl(A), common::toAbsl(B));
@@ -12,10 +12,10 @@
 
 std::optional<std::string_view> findHeader(const header_list &Headers,
                                            std::string_view Name) {
-  for (const auto &[Key, Value] : Headers)
-    if (sameHeader(Key, Name))
-      return Value;
+  for (const header_field &Field : Headers)
+    if (sameHeader(Field.Name, Name))
+      return Field.Value;
   return std::nullopt;
 }
 
-} // namespace magnolia::http
+} // namespace magnolia::net
--- a/Source/Net/Upstream/WorkerPool.cpp
+++ b/Source/Net/Base/WorkerPool.cpp
@@ -1,4 +1,4 @@
-#include "Net/Upstream/WorkerPool.h"
+#include "Net/Base/WorkerPool.h"
 
 #include <system_error>
 #include <thread>
@@ -17,25 +17,37 @@
     Ended.Wait(&Mutex);
 }
 
+bool worker_pool::haveThreadLocked() {
+  if (Idle > Queue.size())
+    return true;
+  if (Threads >= Settings.ThreadLimit)
+    return false;
+  try {
+    std::thread([this] { serve(); }).detach();
+  } catch (const std::system_error &) {
+    return false; // The system has no more threads to give.
+  }
+  ++Threads;
+  ++Idle;
+  return true;
+}
+
 bool worker_pool::tryRun(std::function<void()> Work) {
   const absl::MutexLock Lock(&Mutex);
-  const bool NeedsThread = Idle <= Queue.size();
-  if (NeedsThread && Threads >= Settings.ThreadLimit)
+  if (!haveThreadLocked())
     return false;
-  if (NeedsThread) {
-    try {
-      std::thread([this] { serve(); }).detach();
-    } catch (const std::system_error &) {
-      return false; // The system has no more threads to give.
-    }
-    ++Threads;
-    ++Idle;
-  }
   Queue.push_back(std::move(Work));
   Changed.Signal();
   return true;
 }
 
+void worker_pool::run(std::function<void()> Work) {
+  const absl::MutexLock Lock(&Mutex);
+  haveThreadLocked();
+  Queue.push_back(std::move(Work));
+  Changed.Signal();
+}
+
 size_t worker_pool::threadCount() const {
   const absl::MutexLock Lock(&Mutex);
   return Threads;
--- a/Source/Net/Upstream/WorkerPool.h
+++ b/Source/Net/Base/WorkerPool.h
@@ -28,9 +28,14 @@
   /// Runs \p Work soon; false when every thread is busy and the limit reached.
   bool tryRun(std::function<void()> Work);
 
+  /// Runs \p Work once a thread is free.
+  void run(std::function<void()> Work);
+
   size_t threadCount() const;
 
 private:
+  /// Adds a thread where none is free; whether one is free now.
+  bool haveThreadLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void serve();
   bool awaitWorkLocked() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
 
--- a/Source/Net/Http/HeadInspector.cpp
+++ b/Source/Net/Http/HeadInspector.cpp
@@ -122,7 +122,8 @@
   header_list Fields;
   forEachField(Head, [&](std::string_view Line) {
     const size_t Colon = Line.find(':');
-    Fields.emplace_back(Line.substr(0, Colon), valueOf(Line, Colon));
+    Fields.push_back({std::string(Line.substr(0, Colon)),
+                      std::string(valueOf(Line, Colon))});
     return true;
   });
   return Fields;
--- a/Source/Net/Http/HttpServer.cpp
+++ b/Source/Net/Http/HttpServer.cpp
@@ -12,10 +12,10 @@
 
 #include "Common/ErrorKind.h"
 #include "Common/Time.h"
+#include "Net/Base/WorkerPool.h"
 #include "Net/Http/Connection.h"
 #include "Net/Http/HeadInspector.h"
 #include "Net/Http/LibraryServer.h"
-#include "Net/Http/WorkerPool.h"
 
 namespace magnolia::http {
 namespace {
@@ -45,7 +45,7 @@
         Waker(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
         Address(localAddressOf(Listener.get())),
         Library(Options, std::move(Handler), std::move(Refusal)),
-        Workers(Options.MaxThreads) {
+        Workers({.ThreadLimit = Options.MaxThreads}) {
     watch(Listener.get(), EPOLLIN, EPOLL_CTL_ADD);
     watch(Waker.get(), EPOLLIN, EPOLL_CTL_ADD);
   }
@@ -100,7 +100,7 @@
   std::atomic<boot_time> LastServed{boot_clock::now()};
   std::thread Loop;
   // Last, so that its jobs end before what they use.
-  worker_pool Workers;
+  net::worker_pool Workers;
 };
 
 void http_server::impl::wake() const {
--- a/Source/Net/Http/Message.h
+++ b/Source/Net/Http/Message.h
@@ -5,22 +5,16 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
-#include <vector>
+
+#include "Net/Base/Headers.h"
 
 /// HTTP messages as the rest of the project sees them, free of the library that
 /// reads and writes them.
 namespace magnolia::http {
 
-/// Headers in the order in which they came.
-using header_list = std::vector<std::pair<std::string, std::string>>;
-
-/// The first value of the header \p Name, compared without case.
-std::optional<std::string_view> findHeader(const header_list &Headers,
-                                           std::string_view Name);
-
-/// Whether two header names are the same without regard to case.
-bool sameHeader(std::string_view A, std::string_view B);
+using net::findHeader;
+using net::header_list;
+using net::sameHeader;
 
 /// The head of a request.
 struct request_head {
--- a/Source/Net/Upstream/HeaderRules.cpp
+++ b/Source/Net/Upstream/HeaderRules.cpp
@@ -32,20 +32,16 @@
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
 
-bool equalsName(std::string_view Left, std::string_view Right) {
-  return absl::EqualsIgnoreCase(toAbsl(Left), toAbsl(Right));
-}
-
 bool isHopByHop(std::string_view Name) {
   return std::any_of(
       HopByHopNames.begin(), HopByHopNames.end(),
-      [Name](std::string_view Other) { return equalsName(Name, Other); });
+      [Name](std::string_view Other) { return sameHeader(Name, Other); });
 }
 
 std::vector<std::string> connectionTokens(const header_list &Headers) {
   std::vector<std::string> Tokens;
   for (const header_field &Field : Headers) {
-    if (!equalsName(Field.Name, "Connection"))
+    if (!sameHeader(Field.Name, "Connection"))
       continue;
     for (const absl::string_view Part : absl::StrSplit(Field.Value, ','))
       Tokens.emplace_back(absl::StripAsciiWhitespace(Part));
@@ -90,19 +86,11 @@
 
 } // namespace
 
-const std::string *findHeader(const header_list &Headers,
-                              std::string_view Name) {
-  for (const header_field &Field : Headers)
-    if (equalsName(Field.Name, Name))
-      return &Field.Value;
-  return nullptr;
-}
-
 header_list withoutHopByHop(const header_list &Headers) {
   const std::vector<std::string> Listed = connectionTokens(Headers);
   const auto IsListed = [&](const std::string &Name) {
     return std::any_of(Listed.begin(), Listed.end(), [&](const auto &Token) {
-      return equalsName(Token, Name);
+      return sameHeader(Token, Name);
     });
   };
   header_list Kept;
@@ -115,7 +103,7 @@
 bool asksToClose(const header_list &Headers) {
   const std::vector<std::string> Tokens = connectionTokens(Headers);
   return std::any_of(Tokens.begin(), Tokens.end(), [](const auto &Token) {
-    return equalsName(Token, "close");
+    return sameHeader(Token, "close");
   });
 }
 
@@ -148,12 +136,12 @@
   const std::string *Coding = nullptr;
   std::optional<uint64_t> Found;
   for (const header_field &Field : Headers) {
-    if (equalsName(Field.Name, "Transfer-Encoding")) {
-      if (Coding != nullptr || !equalsName(Field.Value, "chunked"))
+    if (sameHeader(Field.Name, "Transfer-Encoding")) {
+      if (Coding != nullptr || !sameHeader(Field.Value, "chunked"))
         return framing::Ambiguous;
       Coding = &Field.Value;
     }
-    if (!equalsName(Field.Name, "Content-Length"))
+    if (!sameHeader(Field.Name, "Content-Length"))
       continue;
     const auto Parsed = parseLength(Field.Value);
     if (!Parsed || Found)
--- a/Source/Net/Upstream/HttpExchange.cpp
+++ b/Source/Net/Upstream/HttpExchange.cpp
@@ -73,8 +73,7 @@
 
 bool hasValue(const header_list &Headers, std::string_view Name,
               std::string_view Value) {
-  const std::string *Found = findHeader(Headers, Name);
-  return Found != nullptr && *Found == Value;
+  return findHeader(Headers, Name) == Value;
 }
 
 } // namespace
@@ -185,8 +184,8 @@
 
 std::optional<answer_fault>
 http_exchange::checkHead(const header_list &Headers) {
-  const std::string *Id = findHeader(Headers, RequestIdHeader);
-  if (Id != nullptr && *Id != Request.RequestId)
+  const auto Id = findHeader(Headers, RequestIdHeader);
+  if (Id && *Id != Request.RequestId)
     return answer_fault{error_kind::AnswerMismatched,
                         "the answer belongs to another request"};
   if (!areHeadersClean(Headers))
@@ -199,7 +198,7 @@
                         "the length of the answer is ambiguous"};
   Chunked = Framing == framing::Chunked;
   // Without the id this could be the refusal of another request.
-  if (Response.status == StatusServiceUnavailable && Id != nullptr &&
+  if (Response.status == StatusServiceUnavailable && Id.has_value() &&
       hasValue(Headers, NotRunHeader, "1"))
     return answer_fault{error_kind::TargetRefused, "the target did not run it"};
   if (BodyLength > Settings.AnswerBodyLimit)
--- a/Source/Net/Upstream/Message.h
+++ b/Source/Net/Upstream/Message.h
@@ -11,6 +11,7 @@
 #include <absl/types/span.h>
 
 #include "Common/Time.h"
+#include "Net/Base/Headers.h"
 
 /// Requests to targets and their answers over HTTP/1.1.
 namespace magnolia::net {
@@ -21,18 +22,6 @@
 inline constexpr std::string_view NotRunHeader = "Magnolia-Not-Run";
 inline constexpr std::string_view DrainingHeader = "Magnolia-Draining";
 
-/// One header field; names compare without regard to case.
-struct header_field {
-  std::string Name;
-  std::string Value;
-};
-
-using header_list = std::vector<header_field>;
-
-/// The value of the first field named \p Name, or null.
-const std::string *findHeader(const header_list &Headers,
-                              std::string_view Name);
-
 /// Fills \p Buffer with the next bytes of a request body and returns their
 /// number, zero at the end. An error ends the attempt.
 using body_reader = std::function<absl::StatusOr<size_t>(absl::Span<char>)>;
--- a/Source/Net/Upstream/UpstreamPool.cpp
+++ b/Source/Net/Upstream/UpstreamPool.cpp
@@ -1,8 +1,8 @@
 #include "Net/Upstream/UpstreamPool.h"
 
+#include "Net/Base/WorkerPool.h"
 #include "Net/Upstream/Attempt.h"
 #include "Net/Upstream/IdleConnections.h"
-#include "Net/Upstream/WorkerPool.h"
 
 namespace magnolia::net {
 
--- a/Source/StandIns/Server/HttpServer.cpp
+++ b/Source/StandIns/Server/HttpServer.cpp
@@ -9,7 +9,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
-#include "Net/Upstream/WorkerPool.h"
+#include "Net/Base/WorkerPool.h"
 
 namespace magnolia::stand_ins {
 namespace {
--- a/Source/UnitTests/Net/Upstream/UpstreamTest.cpp
+++ b/Source/UnitTests/Net/Upstream/UpstreamTest.cpp
@@ -208,7 +208,7 @@
                                  "Content-Length: 0\r\n\r\n"));
     REQUIRE(Seen.Head.ok());
     CHECK(Seen.Head->Status == 503);
-    CHECK(findHeader(Seen.Head->Headers, NotRunHeader) == nullptr);
+    CHECK(findHeader(Seen.Head->Headers, NotRunHeader) == std::nullopt);
     CHECK(Seen.Outcome.Execution != execution::NotRun);
   }
 
