--- a/Source/Magnoliad/ConfigAgent.cpp
+++ b/Source/Magnoliad/ConfigAgent.cpp
@@ -24,8 +24,9 @@
 config_agent::config_agent(const settings &Settings,
                            platform::services Services, background &Background,
                            peer_mail &Mail, apply_hook Apply)
-    : Services(std::move(Services)), Background(Background), Mail(Mail),
-      Apply(std::move(Apply)), Random(std::random_device{}()),
+    : StaleAfter(Settings.Follow.StaleAfter), Services(std::move(Services)),
+      Background(Background), Mail(Mail), Apply(std::move(Apply)),
+      Random(std::random_device{}()),
       Follower(followerSettings(Settings), makeHooks()) {
   Mail.subscribe(platform::ConfigMessageType,
                  [this](const std::string &From, std::string_view Body) {
--- a/Source/Magnoliad/ConfigAgent.h
+++ b/Source/Magnoliad/ConfigAgent.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <random>
@@ -41,6 +42,12 @@
   /// Whether keyed requests may be served now.
   bool isFresh() const { return common::boot_clock::now() < KeyedUntil.load(); }
 
+  /// How old the knowledge is by which keyed requests are served.
+  common::boot_clock::duration age(common::boot_time Now) const {
+    return std::max(common::boot_clock::duration::zero(),
+                    Now + StaleAfter - KeyedUntil.load());
+  }
+
   platform::follower_counters counters();
 
 private:
@@ -50,12 +57,13 @@
   void receive(const std::string &From, std::string_view Body);
   template <typename Function> void withFollower(Function &&Fn);
 
+  const milliseconds StaleAfter;
   const platform::services Services;
   background &Background;
   peer_mail &Mail;
   const apply_hook Apply;
   std::atomic<contract::snapshot_ptr> Current;
-  std::atomic<common::boot_time> KeyedUntil{common::boot_time::min()};
+  std::atomic<common::boot_time> KeyedUntil{common::boot_time()};
   absl::Mutex Mutex;
   std::mt19937_64 Random ABSL_GUARDED_BY(Mutex);
   platform::config_follower Follower ABSL_GUARDED_BY(Mutex);
--- a/Source/Magnoliad/MemberAgent.cpp
+++ b/Source/Magnoliad/MemberAgent.cpp
@@ -39,9 +39,9 @@
 member_agent::member_agent(const settings &Settings,
                            instance::instance_info Self,
                            platform::services Services, peer_mail &Mail,
-                           version_hook Version)
+                           config_hooks Config)
     : Settings(Settings), Services(std::move(Services)), Mail(Mail),
-      Version(std::move(Version)), Members(std::move(Self), {}) {
+      Config(std::move(Config)), Members(std::move(Self), {}) {
   Mail.subscribe(MessageType, [this](const std::string &,
                                      std::string_view Body) { receive(Body); });
 }
@@ -56,7 +56,7 @@
 
 void member_agent::heartbeat(boot_time Now) {
   const auto Heartbeat =
-      Members.makeHeartbeat(Version(), instance::duration(0), Now);
+      Members.makeHeartbeat(Config.Version(), Config.Age(Now), Now);
   Mail.sendAll(peers(Now), MessageType, instance::encode(Heartbeat));
 }
 
@@ -81,7 +81,7 @@
 }
 
 void member_agent::writeRow(boot_time Now) {
-  const uint64_t InForce = Version();
+  const uint64_t InForce = Config.Version();
   {
     const absl::MutexLock Lock(&Mutex);
     if (RowRemoved || (InForce == WrittenVersion && Now < NextRow))
--- a/Source/Magnoliad/MemberAgent.h
+++ b/Source/Magnoliad/MemberAgent.h
@@ -20,12 +20,17 @@
 /// platform's list and heartbeats; answers the directory. Thread-safe.
 class member_agent {
 public:
-  /// What a heartbeat says of the configuration in force.
-  using version_hook = std::function<uint64_t()>;
+  /// What a heartbeat says of the configuration.
+  struct config_hooks {
+    /// The version in force; zero before the first one.
+    std::function<uint64_t()> Version;
+    /// How old the knowledge is that no newer one was accepted.
+    std::function<common::boot_clock::duration(common::boot_time Now)> Age;
+  };
 
   member_agent(const settings &Settings, instance::instance_info Self,
                platform::services Services, peer_mail &Mail,
-               version_hook Version);
+               config_hooks Config);
 
   /// Tells every peer that this instance lives.
   void heartbeat(common::boot_time Now);
@@ -67,7 +72,7 @@
   const settings &Settings;
   const platform::services Services;
   peer_mail &Mail;
-  const version_hook Version;
+  const config_hooks Config;
   instance::membership Members;
   absl::Mutex Mutex;
   uint64_t WrittenVersion ABSL_GUARDED_BY(Mutex) = 0;
--- a/Source/Magnoliad/NodeImpl.cpp
+++ b/Source/Magnoliad/NodeImpl.cpp
@@ -123,9 +123,11 @@
   Rates = std::move(*Created);
   Targets = std::make_unique<target_agent>(Selector, Process, Services,
                                            Upstream, *Mail);
-  Members =
-      std::make_unique<member_agent>(Settings, std::move(Self), Services, *Mail,
-                                     [this] { return Config->version(); });
+  Members = std::make_unique<member_agent>(
+      Settings, std::move(Self), Services, *Mail,
+      member_agent::config_hooks{
+          [this] { return Config->version(); },
+          [this](common::boot_time Now) { return Config->age(Now); }});
   Config = std::make_unique<config_agent>(
       Settings, Services, *Background, *Mail,
       [this](const contract::snapshot_ptr &Snapshot) { apply(Snapshot); });
