Follow the planned stop's steps in magnoliad

The daemon had its own sequence beside the library's stop_plan, whose wait for callers that keep an answer had no slack. Rights go back when the last request is finished, since until then requests still spend them.

The scenario of the planned stop failed once on a machine with five builds (three calls): its callers went on for longer than the directory's answer may be kept (2 s), after which the port is closed. They now have 10 s; every call must still succeed.

--- a/Source/Magnoliad/NodeImpl.h
+++ b/Source/Magnoliad/NodeImpl.h
@@ -7,6 +7,7 @@
 #include <thread>
 
 #include "Common/TimerService.h"
+#include "Instance/StopPlan.h"
 #include "Magnoliad/AdminPages.h"
 #include "Magnoliad/Background.h"
 #include "Magnoliad/ClaimAgent.h"
@@ -58,8 +59,9 @@
   void addConfigSamples(std::vector<metric_sample> &Samples);
   void addQueueSamples(std::vector<metric_sample> &Samples);
 
-  void awaitPeersKnow();
-  void returnRights();
+  instance::stop_settings stopSettings() const;
+  instance::stop_progress stopProgress(instance::stop_step Step,
+                                       bool &RightsReturned);
 
   const settings Settings;
   const std::string Process;
--- a/Source/Magnoliad/NodeRun.cpp
+++ b/Source/Magnoliad/NodeRun.cpp
@@ -27,14 +27,10 @@
 constexpr milliseconds ClaimSweepPeriod{10'000};
 
 constexpr milliseconds StopPoll{20};
-/// Longest wait for peers that do not confirm that this instance leaves.
-constexpr milliseconds LongestAnnouncement{5000};
 /// Longest wait for the return of shares; what stays ends with its lease.
-constexpr milliseconds LongestReturn{5000};
+constexpr milliseconds ReturnTime{5000};
 /// Idle connections must be quiet for this long before they are closed.
 constexpr milliseconds QuietTime{200};
-/// Requests in flight have deadlines; none is above this.
-constexpr milliseconds LongestRequest{120'000};
 
 } // namespace
 
@@ -158,37 +154,51 @@
   return Status.dump();
 }
 
-void node::impl::awaitPeersKnow() {
-  const boot_time Limit = boot_clock::now() + LongestAnnouncement;
-  while (!Members->leavingKnownToAll(boot_clock::now()) &&
-         boot_clock::now() < Limit)
-    std::this_thread::sleep_for(StopPoll);
+instance::stop_settings node::impl::stopSettings() const {
+  instance::stop_settings Stop;
+  Stop.KeepFor = Settings.Directory.Keep;
+  // Rights are needed until the last request is finished.
+  Stop.LongestReturn =
+      Stop.LongestAnnouncement + Stop.KeepFor + Stop.Slack + ReturnTime;
+  return Stop;
 }
 
-void node::impl::returnRights() {
-  const boot_time Limit = boot_clock::now() + LongestReturn;
-  while (!Rates->release().ok() && boot_clock::now() < Limit)
-    std::this_thread::sleep_for(StopPoll);
+instance::stop_progress node::impl::stopProgress(instance::stop_step Step,
+                                                 bool &RightsReturned) {
+  instance::stop_progress Progress;
+  Progress.PeersKnow = Members->leavingKnownToAll(boot_clock::now());
+  if (Step != instance::stop_step::Finishing)
+    return Progress;
+  const bool Finished = Callers->finish(QuietTime, 2 * QuietTime);
+  Progress.RequestsInFlight =
+      Finished ? 0 : static_cast<uint32_t>(Callers->busyConnections());
+  RightsReturned = RightsReturned || (Finished && Rates->release().ok());
+  Progress.RightsReturned = RightsReturned;
+  return Progress;
 }
 
 void node::impl::stop() {
-  common::log(log_level::Info, Room, "leaving");
   Leaving = true;
   Members->leave();
   Members->heartbeat(boot_clock::now());
   Callers->beginDrain();
   Members->removeRow();
-  awaitPeersKnow();
-  common::log(log_level::Info, Room, "peers know that this instance leaves");
 
-  // Callers still come with directory answers that they kept.
-  std::this_thread::sleep_for(Settings.Directory.Keep);
-  const bool Whole = Callers->finish(QuietTime, LongestRequest);
-  returnRights();
+  instance::stop_plan Plan(stopSettings());
+  Plan.begin(boot_clock::now());
+  bool RightsReturned = false;
+  auto Logged = instance::stop_step::Serving;
+  while (Plan.step() != instance::stop_step::Done) {
+    if (Plan.step() != Logged)
+      common::log(log_level::Info, Room, "planned stop",
+                  {{"step", std::string(nameOf(Plan.step()))}});
+    Logged = Plan.step();
+    std::this_thread::sleep_for(StopPoll);
+    Plan.advance(stopProgress(Plan.step(), RightsReturned), boot_clock::now());
+  }
   Targets->releaseLease();
-  common::log(Whole ? log_level::Info : log_level::Warning, Room,
-              Whole ? "every request is finished"
-                    : "requests were cut off at the longest wait");
+  common::log(log_level::Info, Room, "every request is finished",
+              {{"rights_returned", RightsReturned ? "true" : "false"}});
 }
 
 } // namespace magnolia::daemon
--- a/Source/ScenarioTests/LeavingScenario.cpp
+++ b/Source/ScenarioTests/LeavingScenario.cpp
@@ -27,7 +27,9 @@
 } // namespace
 
 TEST_CASE("A planned stop of an instance cuts off no request") {
-  fleet Fleet({});
+  // Long enough that every call below falls into the time for which callers may
+  // keep an answer, also on a busy machine.
+  fleet Fleet({.ExtraSettings = "directory:\n  keep: 10s\n"});
   Fleet.applyManifest();
   const std::string Secret = Fleet.issueKey("hunters", "hunters-1");
   for (const char *Target : {"t1", "t2", "t3"})
