--- a/Source/Rooms.cmake
+++ b/Source/Rooms.cmake
@@ -34,10 +34,9 @@
 # magnolia_unit_test(Quota SOURCES Bucket_test.cpp DEPENDS magnolia_quota)
 function(magnolia_unit_test Room)
   cmake_parse_arguments(Arg "" "" "SOURCES;DEPENDS" ${ARGN})
-  add_executable(${Room}Tests ${CMAKE_SOURCE_DIR}/Source/UnitTests/Main.cpp
-                              ${Arg_SOURCES})
+  add_executable(${Room}Tests ${Arg_SOURCES})
   magnolia_compile_options(${Room}Tests)
-  target_link_libraries(${Room}Tests PRIVATE ${Arg_DEPENDS} doctest::doctest)
+  target_link_libraries(${Room}Tests PRIVATE ${Arg_DEPENDS} magnolia_testmain)
   doctest_discover_tests(${Room}Tests TEST_PREFIX "${Room}: ")
 endfunction()
 
