--- a/Source/MagnoliaLoad/EjectionWatch.cpp
+++ b/Source/MagnoliaLoad/EjectionWatch.cpp
@@ -9,16 +9,22 @@
 
 constexpr std::chrono::seconds PollTimeout{1};
 constexpr std::string_view StandingSeries = "magnolia_target_standing{";
+constexpr std::string_view AvoidedLabel = "standing=\"avoided\"";
 constexpr std::string_view EjectedLabel = "standing=\"ejected\"";
 constexpr std::string_view TargetLabel = "target=\"";
 
-/// The target that a line of the metrics page shows as ejected, else empty.
-std::string_view ejectedTarget(std::string_view Line) {
-  const bool IsEjection = Line.starts_with(StandingSeries) &&
-                          Line.find(EjectedLabel) != std::string_view::npos &&
-                          !Line.ends_with(" 0");
+bool holds(std::string_view Line, std::string_view Part) {
+  return Line.find(Part) != std::string_view::npos;
+}
+
+/// The target that a line of the metrics page shows as left out, else empty.
+std::string_view leftOutTarget(std::string_view Line) {
+  const bool IsLeftOut =
+      Line.starts_with(StandingSeries) &&
+      (holds(Line, AvoidedLabel) || holds(Line, EjectedLabel)) &&
+      !Line.ends_with(" 0");
   const size_t Label = Line.find(TargetLabel);
-  if (!IsEjection || Label == std::string_view::npos)
+  if (!IsLeftOut || Label == std::string_view::npos)
     return {};
   const size_t Begin = Label + TargetLabel.size();
   return Line.substr(Begin, Line.find('"', Begin) - Begin);
@@ -45,7 +51,7 @@
 
 void ejection_watch::observe(const std::string &Metrics, microseconds Now) {
   for (const absl::string_view Line : absl::StrSplit(Metrics, '\n')) {
-    const std::string_view Target = ejectedTarget(common::toStd(Line));
+    const std::string_view Target = leftOutTarget(common::toStd(Line));
     if (!Target.empty())
       FirstEjection.try_emplace(std::string(Target), Now);
   }
--- a/Source/MagnoliaLoad/EjectionWatch.h
+++ b/Source/MagnoliaLoad/EjectionWatch.h
@@ -14,11 +14,13 @@
 struct detection {
   std::string Target;
   microseconds GraySince{0};
-  /// When the first instance had it ejected; absent when none had.
+  /// When the first instance avoided it or had it ejected; absent when none
+  /// had.
   std::optional<microseconds> EjectedAt;
 };
 
-/// Follows ejections in the instances' metrics.
+/// Follows in the instances' metrics which targets are left out: avoided by one
+/// instance or ejected by all.
 class ejection_watch {
 public:
   explicit ejection_watch(const experiment &Experiment);
@@ -32,7 +34,7 @@
   /// Every gray target of the experiment's events, in their order.
   std::vector<detection> detections() const;
 
-  /// Targets that were ejected before they were gray, or without ever being.
+  /// Targets that were left out before they were gray, or without ever being.
   std::vector<std::string> falseEjections() const;
 
   /// Whether any instance served its metrics.
