Answer a chunked body above its limit with a refusal of its own

Cause: the body pipe ended such a request as if its caller had left (499, caller_gone). 'body_too_large' would be false, since a part was sent on to a target and it says 'not run'. The new kind says 'unknown'. Scenario 'A fleet refuses what is above its limits' failed before with 499 and passes now.

--- a/Source/Core/Common/ErrorKind.cpp
+++ b/Source/Core/Common/ErrorKind.cpp
@@ -25,6 +25,7 @@
     {"bad_request", 400, NotRun, std::nullopt},
     {"headers_too_large", 431, NotRun, std::nullopt},
     {"body_too_large", 413, NotRun, std::nullopt},
+    {"body_cut_off", 413, Unknown, std::nullopt},
     {"key_missing", 401, NotRun, std::nullopt},
     {"key_unknown", 401, NotRun, std::nullopt},
     {"workspace_mismatch", 403, NotRun, std::nullopt},
--- a/Source/Core/Common/ErrorKind.h
+++ b/Source/Core/Common/ErrorKind.h
@@ -19,6 +19,9 @@
   BadRequest,
   HeadersTooLarge,
   BodyTooLarge,
+  /// A body without a declared length passed its limit when a part of it had
+  /// been sent on.
+  BodyCutOff,
   KeyMissing,
   KeyUnknown,
   WorkspaceMismatch,
--- a/Source/Magnoliad/Gateway.cpp
+++ b/Source/Magnoliad/Gateway.cpp
@@ -58,6 +58,8 @@
   contract::snapshot_ptr Snapshot;
   std::optional<rate_permit> Permit;
   std::optional<request::claim> Claim;
+  /// The streamed body passed its limit.
+  bool BodyCutOff = false;
   /// Of the answer, once there is one.
   int HttpStatus = 0;
   forward_request Request;
@@ -247,8 +249,8 @@
   forward_request &Request = Visit->Request;
   Request.Spend = [this, Raw = Visit.get()] { return spend(*Raw); };
   if (Request.Pipe)
-    Request.PumpBody = [this, &Exchange, Pipe = Request.Pipe] {
-      pumpBody(Exchange, *Pipe);
+    Request.PumpBody = [this, &Exchange, Raw = Visit.get()] {
+      pumpBody(Exchange, *Raw);
     };
   auto Answer = Forwarder.forward(
       Request,
@@ -256,6 +258,10 @@
         Exchange.onCallerGone(std::move(Cancel));
       },
       Visit->Report);
+  if (Visit->BodyCutOff)
+    return makeError(error_kind::BodyCutOff,
+                     absl::StrCat("the body is above ",
+                                  Settings.Limits.BodyBytes, " bytes"));
   if (!Answer.ok())
     return Answer.status();
 
@@ -272,11 +278,13 @@
   return absl::OkStatus();
 }
 
-void gateway::pumpBody(http::http_exchange &Exchange, body_pipe &Pipe) const {
+void gateway::pumpBody(http::http_exchange &Exchange, visit &Visit) const {
+  body_pipe &Pipe = *Visit.Request.Pipe;
   uint64_t Total = 0;
   const bool Whole = Exchange.readBody([&](std::string_view Bytes) {
     Total += Bytes.size();
-    return Total <= Settings.Limits.BodyBytes && Pipe.push(Bytes);
+    Visit.BodyCutOff = Total > Settings.Limits.BodyBytes;
+    return !Visit.BodyCutOff && Pipe.push(Bytes);
   });
   Pipe.finish(Whole);
 }
--- a/Source/Magnoliad/Gateway.h
+++ b/Source/Magnoliad/Gateway.h
@@ -83,7 +83,7 @@
   absl::Status forward(http::http_exchange &Exchange, const visit_ptr &Visit);
   absl::Status spend(visit &Visit) const;
   absl::Status spendRight(visit &Visit) const;
-  void pumpBody(http::http_exchange &Exchange, body_pipe &Pipe) const;
+  void pumpBody(http::http_exchange &Exchange, visit &Visit) const;
   void record(const visit &Visit);
 
   const settings &Settings;
--- a/Source/ScenarioTests/Http.cpp
+++ b/Source/ScenarioTests/Http.cpp
@@ -14,6 +14,17 @@
   Result.Ran = Json["error"].value("ran", "");
 }
 
+void sendInChunks(httplib::Request &Request, const std::string &Body) {
+  Request.set_header("Transfer-Encoding", "chunked");
+  Request.is_chunked_content_provider_ = true;
+  Request.content_provider_ = [Body](size_t, size_t, httplib::DataSink &Sink) {
+    const bool Sent = Sink.write(Body.data(), Body.size());
+    if (Sent)
+      Sink.done();
+    return Sent;
+  };
+}
+
 } // namespace
 
 call_result send(const std::string &Address, const call &Call) {
@@ -25,12 +36,15 @@
   httplib::Request Request;
   Request.method = Call.Method;
   Request.path = Call.Path;
-  Request.body = Call.Body;
+  if (Call.Chunked)
+    sendInChunks(Request, Call.Body);
+  else
+    Request.body = Call.Body;
   if (!Call.Secret.empty())
     Request.set_header("Authorization", "Bearer " + Call.Secret);
   for (const auto &[Name, Value] : Call.Headers)
     Request.set_header(Name, Value);
-  if (!Call.Body.empty())
+  if (!Call.Body.empty() && !Call.Chunked)
     Request.set_header("Content-Length", std::to_string(Call.Body.size()));
 
   call_result Result;
--- a/Source/ScenarioTests/Http.h
+++ b/Source/ScenarioTests/Http.h
@@ -14,6 +14,8 @@
   std::string Secret;
   std::string Body;
   std::map<std::string, std::string> Headers;
+  /// Sends the body in chunks, without its length.
+  bool Chunked = false;
   std::chrono::milliseconds Timeout{20'000};
 };
 
--- a/Source/ScenarioTests/PathScenario.cpp
+++ b/Source/ScenarioTests/PathScenario.cpp
@@ -96,6 +96,50 @@
   }
 }
 
+TEST_CASE("A fleet refuses what is above its limits") {
+  fleet_plan Plan;
+  Plan.Instances = 1;
+  Plan.Targets = 1;
+  Plan.ExtraSettings = "limits:\n  head_bytes: 2000\n  body_bytes: 100000\n"
+                       "  buffered_body_bytes: 1000\n";
+  fleet Fleet(Plan);
+  Fleet.applyManifest();
+  const std::string Secret = Fleet.issueKey("hunters", "hunters-1");
+  call Call;
+  Call.Path = "/lookup/echo";
+  Call.Secret = Secret;
+
+  SUBCASE("a head") {
+    Call.Headers["X-Long"] = std::string(3000, 'x');
+    const call_result Result = send(Fleet.callers("i1"), Call);
+    CHECK(Result.Status == 431);
+    CHECK(Result.ErrorKind == "headers_too_large");
+    CHECK(Result.Ran == "no");
+  }
+
+  SUBCASE("a body of a declared length, before any of it is sent on") {
+    Call.Method = "POST";
+    Call.Body = std::string(100'001, 'x');
+    const call_result Result = send(Fleet.callers("i1"), Call);
+    CHECK(Result.Status == 413);
+    CHECK(Result.ErrorKind == "body_too_large");
+    CHECK(Result.Ran == "no");
+    CHECK(Fleet.runs().empty());
+  }
+
+  SUBCASE("a body in chunks, of which a part was sent on") {
+    Call.Method = "POST";
+    Call.Chunked = true;
+    Call.Body = std::string(90'000, 'x');
+    CHECK(send(Fleet.callers("i1"), Call).Body == Call.Body);
+    Call.Body = std::string(400'000, 'x');
+    const call_result Result = send(Fleet.callers("i1"), Call);
+    CHECK(Result.Status == 413);
+    CHECK(Result.ErrorKind == "body_cut_off");
+    CHECK(Result.Ran == "unknown");
+  }
+}
+
 TEST_CASE("Operators get clear errors for bad input") {
   fleet Fleet({.Instances = 1, .Targets = 1});
   Fleet.applyManifest();
