Let a granted request wait for room, and hedge only while nobody waits

Cause: a hedge takes a target's slot without a turn, so a request that the queue had granted found no target with room and was refused as no_target_available, although slots were free an instant later. Ruled out: ejection and draining (both targets healthy). A first attempt now waits for room for at most half a second, and no hedge starts while requests wait for a slot.

--- a/Source/Magnoliad/ForwardSession.cpp
+++ b/Source/Magnoliad/ForwardSession.cpp
@@ -1,5 +1,8 @@
 #include "Magnoliad/ForwardSession.h"
 
+#include <algorithm>
+#include <thread>
+
 #include <absl/strings/str_cat.h>
 
 #include "Common/ErrorKind.h"
@@ -13,6 +16,10 @@
 
 constexpr int FirstServerError = 500;
 
+/// Longest wait of a granted request for room at a target, and its step.
+constexpr std::chrono::milliseconds RoomWait{500};
+constexpr std::chrono::milliseconds RoomPoll{1};
+
 target::outcome outcomeOf(const request::attempt_outcome &Outcome) {
   if (Outcome.ok())
     return Outcome.HttpStatus >= FirstServerError ? target::outcome::Error
@@ -104,10 +111,22 @@
   }
 }
 
+std::optional<target::choice> forward_session::awaitRoom(boot_time Deadline) {
+  const boot_time Limit = std::min(Deadline, boot_clock::now() + RoomWait);
+  while (boot_clock::now() < Limit && !CallerLeft) {
+    std::this_thread::sleep_for(RoomPoll);
+    if (auto Choice = chooseWithRoom({}))
+      return Choice;
+  }
+  return std::nullopt;
+}
+
 absl::StatusOr<net::target_choice>
-forward_session::choose(absl::Span<const std::string> Tried,
+forward_session::choose(absl::Span<const std::string> Tried, boot_time Deadline,
                         const std::function<absl::Status()> &Spend) {
   auto Choice = chooseWithRoom(Tried);
+  if (!Choice && Tried.empty())
+    Choice = awaitRoom(Deadline);
   if (!Choice)
     return common::makeError(
         error_kind::NoTargetAvailable,
--- a/Source/Magnoliad/ForwardSession.h
+++ b/Source/Magnoliad/ForwardSession.h
@@ -33,9 +33,10 @@
   forward_session &operator=(const forward_session &) = delete;
 
   /// A target that is not among \p Tried and has room; \p Spend pays for the
-  /// attempt.
+  /// attempt. A first attempt has its turn and waits for room up to
+  /// \p Deadline, since a hedge of another request may hold it for a moment.
   absl::StatusOr<net::target_choice>
-  choose(absl::Span<const std::string> Tried,
+  choose(absl::Span<const std::string> Tried, common::boot_time Deadline,
          const std::function<absl::Status()> &Spend);
 
   /// The attempt at \p Target has ended.
@@ -46,6 +47,7 @@
   void callerLeft() { CallerLeft = true; }
 
 private:
+  std::optional<target::choice> awaitRoom(common::boot_time Deadline);
   std::optional<target::choice>
   chooseWithRoom(absl::Span<const std::string> Tried);
   void giveUp(const target::choice &Choice);
--- a/Source/Magnoliad/Forwarder.cpp
+++ b/Source/Magnoliad/Forwarder.cpp
@@ -96,7 +96,13 @@
   Traits.Deadline = Request.Deadline;
   request::attempt_hooks Hooks;
   Hooks.TrySpendRetry = [this, Service] { return Budgets.trySpend(Service); };
-  Hooks.HedgeDelay = [this, Service] { return hedgeDelay(Service); };
+  Hooks.HedgeDelay = [this,
+                      Service]() -> std::optional<std::chrono::microseconds> {
+    // A hedge must not take a slot from a request that waits for one.
+    if (Queues.hasWaiting(Service))
+      return std::nullopt;
+    return hedgeDelay(Service);
+  };
   return {{}, Traits, std::move(Hooks)};
 }
 
@@ -132,7 +138,7 @@
 
   net::forward_hooks Hooks;
   Hooks.Choose = [&](absl::Span<const std::string> Tried) {
-    return Session->choose(Tried, Request.Spend);
+    return Session->choose(Tried, Request.Deadline, Request.Spend);
   };
   Hooks.Ended = [Session](const std::string &Target,
                           const request::attempt_outcome &Outcome) {
--- a/Source/Magnoliad/NodeMetrics.cpp
+++ b/Source/Magnoliad/NodeMetrics.cpp
@@ -55,6 +55,10 @@
                      "Whether keyed requests are served.",
                      {},
                      Config->isFresh() ? 1.0 : 0.0});
+  Samples.push_back({"magnolia_rate_slots_held",
+                     "Slots of rate shares that this instance may use.",
+                     {},
+                     static_cast<double>(Rates->slotsHeld())});
   Samples.push_back({"magnolia_connections",
                      "Open connections of callers.",
                      {},
--- a/Source/Magnoliad/QueueAgent.cpp
+++ b/Source/Magnoliad/QueueAgent.cpp
@@ -144,6 +144,11 @@
     Service->Queue.advance(Now);
 }
 
+bool queue_agent::hasWaiting(std::string_view Service) const {
+  const service_ptr Live = find(Service);
+  return Live && Live->Queue.counters().Waiting > 0;
+}
+
 std::vector<std::pair<std::string, admission::fair_queue_counters>>
 queue_agent::counters() const {
   std::vector<std::pair<std::string, admission::fair_queue_counters>> Counters;
--- a/Source/Magnoliad/QueueAgent.h
+++ b/Source/Magnoliad/QueueAgent.h
@@ -68,6 +68,9 @@
   /// Refuses what is too late; call every few milliseconds.
   void advance(common::boot_time Now);
 
+  /// Whether a request waits for a slot of \p Service.
+  bool hasWaiting(std::string_view Service) const;
+
   /// Waiting and running requests, by service.
   std::vector<std::pair<std::string, admission::fair_queue_counters>>
   counters() const;
--- a/Source/Magnoliad/RateAgent.cpp
+++ b/Source/Magnoliad/RateAgent.cpp
@@ -187,6 +187,15 @@
   return Keeper->release(instantNow());
 }
 
+uint64_t rate_agent::slotsHeld() {
+  const absl::MutexLock Lock(&Mutex);
+  uint64_t Held = 0;
+  if (Shares)
+    for (const quota::partition_view &Partition : Shares->Partitions)
+      Held += Partition.Held;
+  return Held;
+}
+
 std::vector<std::string> rate_agent::homes(std::string_view Workspace) {
   const absl::MutexLock Lock(&Mutex);
   if (!Shares)
--- a/Source/Magnoliad/RateAgent.h
+++ b/Source/Magnoliad/RateAgent.h
@@ -44,6 +44,9 @@
   /// For a planned stop: returns loans and shares; blocks. Repeat on an error.
   absl::Status release();
 
+  /// Slots of shares that this instance holds and may use.
+  uint64_t slotsHeld();
+
   /// The workspace's home instances, in the order in which to use them.
   std::vector<std::string> homes(std::string_view Workspace);
 
--- a/Source/ScenarioTests/FairnessScenario.cpp
+++ b/Source/ScenarioTests/FairnessScenario.cpp
@@ -38,6 +38,7 @@
   const std::string Busy = Fleet.issueKey("busy", "busy-1");
   const std::string Quiet = Fleet.issueKey("quiet", "quiet-1");
 
+  Fleet.awaitSharesSettled();
   const caller_group BusyCallers = callersOf(Fleet, Busy, BusyThreads);
   CHECK(await([&] { return BusyCallers.count(200) > 50; }));
   const size_t BusyBefore = BusyCallers.count(200);
@@ -49,6 +50,8 @@
   // waiting, so they need not get all of it. First come, first served would
   // give them two of 26.
   CHECK(BusyMeanwhile <= 3 * QuietRequests);
-  for (const exchange &Each : QuietCallers.stop())
+  for (const exchange &Each : QuietCallers.stop()) {
+    CAPTURE(Each.Result.Body);
     CHECK(Each.Result.ok());
+  }
 }
--- a/Source/ScenarioTests/Fleet.cpp
+++ b/Source/ScenarioTests/Fleet.cpp
@@ -1,5 +1,6 @@
 #include "ScenarioTests/Fleet.h"
 
+#include <cstring>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -240,6 +241,35 @@
     throw std::runtime_error("apply failed: " + Result.Output);
 }
 
+int fleet::slotsHeld() const {
+  constexpr const char *Metric = "\nmagnolia_rate_slots_held ";
+  call Call;
+  Call.Path = "/metrics";
+  int Held = 0;
+  for (const std::string &Instance : instances()) {
+    const std::string Page = send(admin(Instance), Call).Body;
+    const size_t Found = Page.find(Metric);
+    if (Found != std::string::npos)
+      Held += std::stoi(Page.substr(Found + std::strlen(Metric)));
+  }
+  return Held;
+}
+
+void fleet::awaitSharesSettled() {
+  // The layout of a fresh table: 64 partitions of four slots.
+  constexpr int AllSlots = 256;
+  constexpr std::chrono::seconds Quiet{2};
+  auto Since = std::chrono::steady_clock::now();
+  const bool Settled = await([&] {
+    const auto Now = std::chrono::steady_clock::now();
+    if (slotsHeld() != AllSlots)
+      Since = Now;
+    return Now - Since >= Quiet;
+  });
+  if (!Settled)
+    throw std::runtime_error("the shares do not settle");
+}
+
 void fleet::awaitServed(const std::string &Secret) {
   call Call;
   Call.Path = "/lookup/ready";
--- a/Source/ScenarioTests/Fleet.h
+++ b/Source/ScenarioTests/Fleet.h
@@ -66,6 +66,11 @@
   /// runs of that.
   void awaitServed(const std::string &Secret);
 
+  /// Waits until the instances hold every share of the rates and none moved for
+  /// a while. A share that changes hands starts empty, so before that requests
+  /// within their rate may be refused.
+  void awaitSharesSettled();
+
   /// Issues a key and returns its secret, once every instance serves it.
   std::string issueKey(const std::string &Workspace, const std::string &Id);
 
@@ -104,6 +109,7 @@
 private:
   struct program_state;
 
+  int slotsHeld() const;
   void launch(const std::string &Name, const std::string &Program,
               const std::string &Settings);
   /// Waits until the launched program has told its ports.
--- a/Source/ScenarioTests/LeavingScenario.cpp
+++ b/Source/ScenarioTests/LeavingScenario.cpp
@@ -32,6 +32,7 @@
   fleet Fleet({.ExtraSettings = "directory:\n  keep: 10s\n"});
   Fleet.applyManifest();
   const std::string Secret = Fleet.issueKey("hunters", "hunters-1");
+  Fleet.awaitSharesSettled();
   for (const char *Target : {"t1", "t2", "t3"})
     Fleet.setTarget(Target, "/admin/mode",
                     R"({"mode": "slow", "delay_ms": 100})");
@@ -51,8 +52,11 @@
   const size_t Before = Keeping.count(200);
   CHECK(await([&] { return Keeping.count(200) > Before; }));
   const auto Exchanges = Keeping.stop();
-  for (const exchange &Each : Exchanges)
+  for (const exchange &Each : Exchanges) {
+    CAPTURE(Each.Result.Status);
+    CAPTURE(Each.Result.Body);
     CHECK(Each.Result.ok());
+  }
   CHECK(Leaving.wait() == 0);
   CHECK(Fleet.logOf("i2").find("every request is finished") !=
         std::string::npos);
