Gray targets are tested when their episode should be over, by a learned length

The belief forgot with a time constant and counted from the last failure, so each failed test moved the next one past the end of the episode.

Now: an episode begins with the first request that is turned away; its length is learned from the requests of the whole fleet (prior about ten seconds), and while few requests fail a target is tested when it is less likely gray than 0.35. The faster tests while many requests fail (FLOOR) stay as they were.

--- a/Source/Core/Placement/GrayBelief.h
+++ b/Source/Core/Placement/GrayBelief.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <optional>
 #include <string_view>
 
+#include "Placement/EpisodeLength.h"
 #include "Placement/TargetEntry.h"
 
 namespace magnolia::placement {
@@ -34,23 +36,25 @@
 struct belief_settings {
   /// Probability that a target of which nothing is known is gray.
   double Prior = 0.3;
-  /// Time in which what was seen loses all but a third of its weight: gray
-  /// targets stay so for about ten seconds, and sound ones sound.
+  /// Time in which what was seen loses all but a third of its weight.
   duration Memory = std::chrono::milliseconds(9000);
 };
 
 /// The probability that a target is gray: it fails a large part of its
 /// requests, whatever its health check says. A two-state filter: evidence moves
-/// the probability by Bayes' rule, time lets it return to the prior. Load
-/// pattern: at any time a third of the targets reset most requests, each for
-/// about ten seconds, and each failed request of a route that is not repeatable
-/// is lost; a target with the newest proof is worth more than one of which
-/// nothing is known, and that more than one that has just failed. Not
-/// thread-safe.
+/// the probability by Bayes' rule, time lets it return to the prior; a target
+/// that failed stays gray for as long as episodes last. Load pattern: at any
+/// time a third of the targets reset most requests, each for about ten seconds,
+/// and each failed request of a route that is not repeatable is lost; a target
+/// with the newest proof is worth more than one of which nothing is known, and
+/// that more than one that has just failed. Not thread-safe.
 class gray_belief {
 public:
-  explicit gray_belief(const belief_settings &Settings)
-      : Settings(Settings), Gray(Settings.Prior) {}
+  /// \p Length: how long episodes last, told of what is seen; null where time
+  /// alone says nothing of when a failure ends. Must outlive this object.
+  explicit gray_belief(const belief_settings &Settings,
+                       episode_length *Length = nullptr)
+      : Settings(Settings), Length(Length), Gray(Settings.Prior) {}
 
   /// The probability at \p Now.
   double at(boot_time Now) const;
@@ -63,8 +67,20 @@
   boot_time lastGood() const { return LastGood; }
 
 private:
+  /// The failures since the target was last sound.
+  struct episode {
+    boot_time Since;
+    /// A request had succeeded shortly before, so Since is its beginning.
+    bool BeginningKnown = false;
+  };
+
+  double survivalAt(boot_time Now) const;
+  void followEpisode(evidence Evidence, boot_time SentAt, boot_time Now);
+
   belief_settings Settings;
+  episode_length *Length;
   double Gray;
+  std::optional<episode> Episode;
   boot_time Updated;
   boot_time LastFailure;
   boot_time LastGood;
--- a/Source/Core/Placement/TargetBoard.cpp
+++ b/Source/Core/Placement/TargetBoard.cpp
@@ -44,7 +44,7 @@
   }
   if (Slot)
     remove(Entry.Id);
-  const auto Made = std::make_shared<target>(Entry, Settings);
+  const auto Made = std::make_shared<target>(Entry, Settings, *Length);
   Made->Key = keyOf(Entry);
   Made->Joined = Now;
   ById[Entry.Id] = Made;
@@ -131,8 +131,7 @@
     return Settings.TestAtOnceAfterFailure;
   if (Unserved >= Settings.TestSoonFrom)
     return Settings.TestSoonAfterFailure;
-  return LeftOut > Settings.FewLeftOut ? Settings.TestAfterFailure
-                                       : Settings.TestAtLast;
+  return duration::max();
 }
 
 std::vector<target_ref>
@@ -144,9 +143,7 @@
     if (!usable(*Target, Question) ||
         Now - Target->LastUsed <= Settings.TestEvery)
       continue;
-    const bool Avoided =
-        Target->Fleet.at(Now) >= Settings.TestBelow &&
-        Now - Target->Fleet.lastFailure() <= Settings.TestAtLast;
+    const bool Avoided = Target->Fleet.at(Now) >= Settings.TestBelow;
     (Avoided ? LeftOut : Due).push_back(Target);
   }
   const duration Pause = pauseAfterFailure(Question.Unserved, LeftOut.size());
--- a/Source/Core/Placement/TargetBoard.h
+++ b/Source/Core/Placement/TargetBoard.h
@@ -38,15 +38,12 @@
   /// A target gets a request at least this often, so that what is known of it
   /// stays new and no part of the capacity stays out for good.
   duration TestEvery = std::chrono::milliseconds(800);
-  /// One that failed is left out of that for this long: gray targets fail for
-  /// about ten seconds, and a test costs a request.
-  duration TestAtLast = std::chrono::milliseconds(12000);
-  /// The same while more than so many targets of the service are left out: a
-  /// part of them is sound again, and too much of the capacity stays out.
-  size_t FewLeftOut = 5;
-  duration TestAfterFailure = std::chrono::milliseconds(7000);
-  /// The same while more than this share of the service's requests fail, which
-  /// may come from leaving too much of its capacity out.
+  /// One that is more likely gray than this is left out of that: a test costs a
+  /// request.
+  double TestBelow = 0.35;
+  /// While more than this share of the service's requests fail, which may come
+  /// from leaving too much of its capacity out, one that failed is left out for
+  /// this time at most.
   double TestSoonFrom = 0.07;
   duration TestSoonAfterFailure = std::chrono::milliseconds(6000);
   /// The same if more than so many targets are left out and more than this
@@ -54,9 +51,6 @@
   size_t ManyLeftOut = 12;
   double TestAtOnceFrom = 0.1;
   duration TestAtOnceAfterFailure = std::chrono::milliseconds(2500);
-  /// A target that is less likely gray than this is not left out: one failure
-  /// among answers shows little.
-  double TestBelow = 0.5;
   /// Differences in cost far below this decide nothing, so that instances with
   /// the same news do not all choose the same target. Less, and load gathers on
   /// the targets with the newest proof.
@@ -66,8 +60,10 @@
 /// A target as one instance sees it.
 class target {
 public:
-  target(target_entry Entry, const placement_settings &Settings)
-      : Entry(std::move(Entry)), Fleet(Settings.Belief), Path(Settings.Path) {}
+  target(target_entry Entry, const placement_settings &Settings,
+         episode_length &Length)
+      : Entry(std::move(Entry)), Fleet(Settings.Belief, &Length),
+        Path(Settings.Path) {}
 
   target_entry Entry;
   target_key Key = 0;
@@ -169,6 +165,8 @@
 
 private:
   bool usable(const target &Target, const placement_question &Question) const;
+  /// How long a target that failed is left out; longer than any test waits
+  /// while few requests fail.
   duration pauseAfterFailure(double Unserved, size_t LeftOut) const;
   std::vector<target_ref> dueForTest(const placement_question &Question,
                                      boot_time Now) const;
@@ -178,6 +176,9 @@
 
   const placement_settings Settings;
   const std::string FailureDomain;
+  /// Targets hold on to it, also when they are gone and a request still waits.
+  const std::unique_ptr<episode_length> Length =
+      std::make_unique<episode_length>();
   absl::flat_hash_map<std::string, target_ref> ById;
   absl::flat_hash_map<target_key, target_ref> ByKey;
   absl::flat_hash_map<std::string, std::vector<target_ref>> ByService;
--- a/Source/UnitTests/Placement/FleetLoadTest.cpp
+++ b/Source/UnitTests/Placement/FleetLoadTest.cpp
@@ -16,6 +16,15 @@
 constexpr milliseconds NewsPeriod{250};
 constexpr uint32_t Slots = 4;
 
+/// How targets turn gray, at any time three in ten of them.
+enum class gray_pattern {
+  /// Drawn anew for each target every ten seconds.
+  Drawn,
+  /// For seven seconds each, shorter than is expected, and sound for sixteen
+  /// seconds in between.
+  InTurn,
+};
+
 /// How the requests of a replay fared.
 struct outcome {
   int Requests = 0;
@@ -28,15 +37,14 @@
   int SoundWindows = 0;
 };
 
-/// A fleet before the targets of one service, in steps of simulated time. At
-/// any time three in ten targets reset most requests; which ones is drawn anew
-/// for each target every ten seconds. Bad news is told at once, what is in
+/// A fleet before the targets of one service, in steps of simulated time. Gray
+/// targets reset most requests. Bad news is told at once, what is in
 /// flight and which targets did well every quarter second.
 class replay {
 public:
   replay(const placement_settings &Settings, size_t Instances, size_t Targets,
-         double RequestsPerSecond)
-      : Rate(RequestsPerSecond), Servers(Targets) {
+         double RequestsPerSecond, gray_pattern Pattern)
+      : Rate(RequestsPerSecond), Pattern(Pattern), Servers(Targets) {
     for (size_t Index = 0; Index < Instances; ++Index)
       Boards.emplace_back(Settings, "Trnava");
     for (size_t Index = 0; Index < Targets; ++Index) {
@@ -95,6 +103,16 @@
     boot_time SentAt;
   };
 
+  bool grayNext(const server &Server) {
+    return Pattern == gray_pattern::InTurn ? !Server.Gray : drawn(10) < 3;
+  }
+
+  duration timeIn(const server &Server) const {
+    if (Pattern == gray_pattern::Drawn)
+      return seconds(10);
+    return Server.Gray ? seconds(7) : seconds(16);
+  }
+
   int drawn(int Below) {
     return std::uniform_int_distribution<int>(0, Below - 1)(Random);
   }
@@ -104,11 +122,11 @@
       if (Now < Server.NextDraw)
         continue;
       const bool Was = Server.Gray;
-      Server.Gray = drawn(10) < 3;
+      Server.Gray = grayNext(Server);
       if (Was && !Server.Gray)
         Server.SoundSince = Now;
       Result.Episodes += Server.Gray ? 1 : 0;
-      Server.NextDraw = Now + seconds(10);
+      Server.NextDraw = Now + timeIn(Server);
     }
   }
 
@@ -194,6 +212,7 @@
   }
 
   const double Rate;
+  const gray_pattern Pattern;
   std::mt19937_64 Random{11};
   boot_time Now{seconds(1000)};
   std::deque<target_board> Boards;
@@ -222,11 +241,12 @@
 
 TEST_CASE("A large fleet before targets that turn gray and recover") {
   // A third of all slots, and half of those of sound targets, are in use.
-  const auto Play = [](const placement_settings &Settings) {
-    return replay(Settings, 12, 36, 150).run(seconds(40));
+  const auto Play = [](const placement_settings &Settings,
+                       gray_pattern Pattern) {
+    return replay(Settings, 12, 36, 150, Pattern).run(seconds(40));
   };
-  const outcome Before = Play(settingsBefore());
-  const outcome After = Play(placement_settings());
+  const outcome Before = Play(settingsBefore(), gray_pattern::Drawn);
+  const outcome After = Play(placement_settings(), gray_pattern::Drawn);
   REQUIRE(After.SoundWindows > 100);
   REQUIRE(After.Episodes > 20);
 
@@ -239,4 +259,9 @@
           share(Before.SoundUnused, Before.SoundWindows) / 4);
     CHECK(share(After.SoundUnused, After.SoundWindows) < 0.1);
   }
+  SUBCASE("learns how long targets stay gray and asks them again after it") {
+    const outcome InTurn = Play(placement_settings(), gray_pattern::InTurn);
+    REQUIRE(InTurn.Episodes > 40);
+    CHECK(InTurn.Broken <= 2 * InTurn.Episodes);
+  }
 }
--- a/Source/UnitTests/Placement/GrayBeliefTest.cpp
+++ b/Source/UnitTests/Placement/GrayBeliefTest.cpp
@@ -60,3 +60,50 @@
     CHECK(Belief.lastFailure() == Start);
   }
 }
+
+TEST_CASE("What is believed of a target that failed") {
+  const belief_settings Settings;
+  episode_length Length;
+  gray_belief Belief(Settings, &Length);
+  const boot_time Start(seconds(100));
+  const auto Succeed = [&](boot_time At) {
+    Belief.observe(evidence::Succeeded, At, At);
+  };
+  const auto Break = [&](boot_time At) {
+    Belief.observe(evidence::Broken, At, At);
+  };
+  Succeed(Start - seconds(1));
+
+  SUBCASE("stays bad for as long as gray targets stay gray") {
+    Break(Start);
+    CHECK(Belief.at(Start + seconds(7)) > 0.8);
+    CHECK(Belief.at(Start + seconds(14)) < 0.3);
+
+    SUBCASE("counted from its first failure, not from the last") {
+      Break(Start + seconds(6));
+      CHECK(Belief.at(Start + seconds(14)) < 0.3);
+    }
+    SUBCASE("anew when it fails after that time") {
+      Succeed(Start + seconds(14));
+      Break(Start + seconds(15));
+      CHECK(Belief.at(Start + seconds(21)) > 0.8);
+    }
+  }
+  SUBCASE("counts as recovered sooner when its episode began unseen") {
+    Break(Start + seconds(10));
+    gray_belief Seen(Settings, &Length);
+    Seen.observe(evidence::Succeeded, Start + seconds(9), Start + seconds(9));
+    Seen.observe(evidence::Broken, Start + seconds(10), Start + seconds(10));
+    CHECK(Belief.at(Start + seconds(15)) < Seen.at(Start + seconds(15)) - 0.2);
+  }
+  SUBCASE("returns to the prior when it had taken the request") {
+    Belief.observe(evidence::Broken, Start - milliseconds(700), Start);
+    CHECK(Belief.at(Start) > 0.6);
+    CHECK(Belief.at(Start + seconds(9)) < 0.6);
+  }
+  SUBCASE("needs more than one success before it is trusted again") {
+    Break(Start);
+    Succeed(Start + seconds(4));
+    CHECK(Belief.at(Start + seconds(4)) > 0.5);
+  }
+}
