A target is tested by instances of its own failure domain first

Now: an instance tests a target of another domain only after 1.6 s without a request, and those of its own so much more often.

--- a/Source/Core/Placement/TargetBoard.cpp
+++ b/Source/Core/Placement/TargetBoard.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/random/distributions.h>
 
 #include "Common/StringView.h"
@@ -140,8 +141,7 @@
   std::vector<target_ref> Due;
   std::vector<target_ref> LeftOut;
   for (const target_ref &Target : of(Question.Service)) {
-    if (!usable(*Target, Question) ||
-        Now - Target->LastUsed <= Settings.TestEvery)
+    if (!usable(*Target, Question) || !unused(*Target, Now))
       continue;
     const bool Avoided = Target->Fleet.at(Now) >= Settings.TestBelow;
     (Avoided ? LeftOut : Due).push_back(Target);
@@ -153,6 +153,26 @@
   return Due;
 }
 
+bool target_board::unused(const target &Target, boot_time Now) const {
+  const bool Near = Target.Entry.FailureDomain == FailureDomain;
+  return Now - Target.LastUsed >
+         (Near ? Settings.TestEvery : Settings.TestElsewhereEvery);
+}
+
+double target_board::testsWanted(absl::Span<const target_ref> Due) const {
+  absl::flat_hash_set<std::string_view> Domains;
+  for (const auto &[Id, Target] : ById)
+    Domains.insert(Target->Entry.FailureDomain);
+  // A target of this domain is tested by its instances alone, so each of them
+  // does so more often.
+  const auto OfOneNear =
+      static_cast<double>(std::max<size_t>(Domains.size(), 1));
+  double Wanted = 0;
+  for (const target_ref &Target : Due)
+    Wanted += Target->Entry.FailureDomain == FailureDomain ? OfOneNear : 1;
+  return Wanted * TestsPerSecond;
+}
+
 target_ref target_board::chooseTested(const placement_question &Question,
                                       boot_time Now,
                                       absl::BitGenRef Random) const {
@@ -163,9 +183,7 @@
     return nullptr;
   // All instances together, which do not agree on who sends, give each of them
   // so many requests in a second that nearly none gets nothing.
-  const double Part =
-      std::min(MostTests, TestsPerSecond * static_cast<double>(Due.size()) /
-                              Question.Rate);
+  const double Part = std::min(MostTests, testsWanted(Due) / Question.Rate);
   if (absl::Uniform(Random, 0.0, 1.0) > Part)
     return nullptr;
   // The one of two that has waited longer: the next to get nothing for too
--- a/Source/Core/Placement/TargetBoard.h
+++ b/Source/Core/Placement/TargetBoard.h
@@ -38,6 +38,9 @@
   /// A target gets a request at least this often, so that what is known of it
   /// stays new and no part of the capacity stays out for good.
   duration TestEvery = std::chrono::milliseconds(800);
+  /// One of another failure domain, where others test it more cheaply, gets one
+  /// only after this time.
+  duration TestElsewhereEvery = std::chrono::milliseconds(1600);
   /// One that is more likely gray than this is left out of that: a test costs a
   /// request.
   double TestBelow = 0.35;
@@ -170,6 +173,8 @@
   duration pauseAfterFailure(double Unserved, size_t LeftOut) const;
   std::vector<target_ref> dueForTest(const placement_question &Question,
                                      boot_time Now) const;
+  bool unused(const target &Target, boot_time Now) const;
+  double testsWanted(absl::Span<const target_ref> Due) const;
   target_ref chooseTested(const placement_question &Question, boot_time Now,
                           absl::BitGenRef Random) const;
   uint32_t inFlightAt(const target &Target, boot_time Now) const;
--- a/Source/UnitTests/Placement/TargetBoardTest.cpp
+++ b/Source/UnitTests/Placement/TargetBoardTest.cpp
@@ -172,6 +172,28 @@
     CHECK(Board.sizeOf("orders") == 3);
     CHECK(Board.sizeOf("fitting") == 1);
   }
+  SUBCASE("one elsewhere that nobody used only when nobody there tests it") {
+    Board.put(entryOf("far", "Nitra"), Now);
+    for (const char *Id : {"a", "b", "c", "d", "far"}) {
+      Prove(Id);
+      Board.find(Id)->LastUsed = Now;
+    }
+    Question.Rate = 40;
+    const auto TestsOfFar = [&] {
+      int Count = 0;
+      for (int Index = 0; Index < 400; ++Index) {
+        for (const char *Id : {"a", "b", "c", "d"})
+          Board.find(Id)->LastUsed = Now;
+        const auto Target = Board.choose(Question, Now, Random);
+        Count += Target->Entry.Id == "far" ? 1 : 0;
+      }
+      return Count;
+    };
+    Now += milliseconds(1500);
+    CHECK(TestsOfFar() < 8);
+    Now += milliseconds(300);
+    CHECK(TestsOfFar() > 8);
+  }
   SUBCASE("now and then one that nobody used, so that its state is known") {
     for (const char *Id : {"a", "b", "c", "d"})
       Prove(Id);
