News pass on inside other failure domains instead of crossing once for each instance

Each message went to each of 32 instances, so the bytes grew with the square of the fleet.

Now: a message for other domains goes to one instance of each, two if it is urgent, which passes it on to its neighbours; another one each time, so that a relay that died unnoticed costs single messages. A domain in which nobody is heard gets it directly. A message that was overtaken on its way does not undo a peer's state.

Ruled out: fewer kinds of news for other domains (the part that remains after this is rows and requests).

--- a/Source/Core/Fleet/FleetBuckets.cpp
+++ b/Source/Core/Fleet/FleetBuckets.cpp
@@ -5,8 +5,6 @@
 namespace magnolia::fleet {
 namespace {
 
-/// The part of a bucket below which its admissions are told at once.
-constexpr double UrgentBelow = 0.5;
 /// What the fleet admitted too much is paid back in about so many seconds.
 constexpr double PaidBackIn = 2;
 /// Meanwhile an instance admits at least this part of its own part of the rate.
@@ -60,8 +58,6 @@
       Bucket.OwnTokens -= 1;
     Bucket.Tokens -= 1;
     ++Bucket.Admitted;
-    if (Bucket.Tokens < Capacity * UrgentBelow)
-      Urgent.fill(true);
     return Decision;
   }
   Decision.Admitted = false;
@@ -102,7 +98,6 @@
 std::vector<workspace_total> fleet_buckets::takeTotals(audience Audience,
                                                        bool Everything) {
   const auto Index = static_cast<size_t>(Audience);
-  Urgent.at(Index) = false;
   std::vector<workspace_total> Totals;
   for (auto &[Key, Bucket] : Buckets) {
     uint64_t &Told = Bucket.Told.at(Index);
--- a/Source/Core/Fleet/FleetBuckets.h
+++ b/Source/Core/Fleet/FleetBuckets.h
@@ -69,12 +69,6 @@
   /// \p Audience, all of them if \p Everything.
   std::vector<workspace_total> takeTotals(audience Audience, bool Everything);
 
-  /// Whether \p Audience was not told of an admission from a bucket that is
-  /// less than half full: late news of it could let the fleet admit too much.
-  bool hasUrgentTotals(audience Audience) const {
-    return Urgent.at(static_cast<size_t>(Audience));
-  }
-
 private:
   struct bucket {
     double Tokens = 0;
@@ -95,7 +89,6 @@
 
   const bucket_settings Settings;
   absl::flat_hash_map<uint32_t, bucket> Buckets;
-  std::array<bool, AudienceCount> Urgent{};
 };
 
 } // namespace magnolia::fleet
--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -13,6 +13,7 @@
 constexpr int HelloKind = 1;
 constexpr int NewsKind = 2;
 constexpr int RowsKind = 3;
+constexpr int RelayedKind = 4;
 // The states of instance and reading travel in one number.
 constexpr int ReadingFactor = 8;
 
@@ -82,6 +83,12 @@
                       Rows.After, toJson(absl::MakeConstSpan(Rows.Rows))});
 }
 
+json toJson(const relayed_message &Relayed) {
+  return json::array(
+      {RelayedKind, Relayed.Origin, Relayed.PassOn,
+       json::binary_t({Relayed.Bytes.begin(), Relayed.Bytes.end()})});
+}
+
 std::string textFrom(const json &Value) {
   const json::binary_t &Bytes = Value.get_binary();
   return {Bytes.begin(), Bytes.end()};
@@ -113,6 +120,14 @@
   return Rows;
 }
 
+relayed_message relayedFrom(const json &Value) {
+  relayed_message Relayed;
+  Relayed.Origin = Value.at(1).get<std::string>();
+  Relayed.PassOn = Value.at(2).get<bool>();
+  Relayed.Bytes = textFrom(Value.at(3));
+  return Relayed;
+}
+
 instance_state stateFrom(int Number) {
   if (Number < 0 || Number > static_cast<int>(instance_state::Leaving))
     return instance_state::Starting;
@@ -204,6 +219,8 @@
       return newsFrom(Value);
     if (Kind == RowsKind)
       return rowsMessageFrom(Value);
+    if (Kind == RelayedKind)
+      return relayedFrom(Value);
   } catch (const json::exception &Error) {
     return absl::InvalidArgumentError(Error.what());
   }
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -43,8 +43,8 @@
 /// The tables of the store that instances pass on to each other.
 enum class table_id : uint8_t { Configuration, Targets, Count };
 
-/// Whom an instance tells its news: those of its own failure domain often,
-/// others more rarely, since bytes between domains are dear.
+/// Whom an instance tells its news: each of its own failure domain, and others
+/// through relays, since bytes between domains are dear.
 enum class audience : uint8_t { SameDomain, OtherDomains, Count };
 constexpr size_t AudienceCount = static_cast<size_t>(audience::Count);
 
@@ -121,7 +121,19 @@
   std::vector<stored_row> Rows;
 };
 
-using message = std::variant<hello_message, news_message, rows_message>;
+/// Another instance's message that its receiver passes on inside its failure
+/// domain, or that was passed on so.
+struct relayed_message {
+  /// "IPv4:port" of the instance whose message it is.
+  std::string Origin;
+  /// The receiver passes it on; false when that was done.
+  bool PassOn = false;
+  /// What encode() made of the message.
+  std::string Bytes;
+};
+
+using message =
+    std::variant<hello_message, news_message, rows_message, relayed_message>;
 
 /// The bytes of one datagram.
 std::string encode(const message &Message);
--- a/Source/Core/Fleet/PeerView.cpp
+++ b/Source/Core/Fleet/PeerView.cpp
@@ -48,8 +48,12 @@
   // What a peer used while it was not heard came out of its own share.
   const bool Charged = alive(*Peer, Now);
   Peer->LastHeard = Now;
-  Peer->State = News.State;
-  Peer->Reading = News.Reading;
+  // Messages come by different ways.
+  const bool Overtaken = News.FirstEvent + News.Events.size() < Peer->NextEvent;
+  if (!Overtaken) {
+    Peer->State = News.State;
+    Peer->Reading = News.Reading;
+  }
   for (const workspace_total &Total : News.Workspaces)
     takeWorkspace(*Peer, Total, Charged);
   for (const service_total &Total : News.Services)
@@ -61,7 +65,8 @@
     Peer->NextEvent = Number + 1;
     Hooks.OnEvent(News.Events[Index]);
   }
-  Hooks.OnNews(*Peer, News);
+  if (!Overtaken)
+    Hooks.OnNews(*Peer, News);
   return true;
 }
 
--- /dev/null
+++ b/Source/Core/Fleet/RelayPlan.cpp
@@ -0,0 +1,49 @@
+#include "Fleet/RelayPlan.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace magnolia::fleet {
+namespace {
+
+struct domain_peers {
+  std::vector<const peer *> Known;
+  std::vector<const peer *> Alive;
+};
+
+} // namespace
+
+relay_plan planRelays(const peer_view &Peers, std::string_view OwnDomain,
+                      size_t RelaysPerDomain, uint64_t Round, boot_time Now) {
+  std::map<std::string, domain_peers> Domains;
+  for (const auto &[Name, Peer] : Peers.peers()) {
+    if (Peer.Identity.FailureDomain == OwnDomain)
+      continue;
+    domain_peers &Domain = Domains[Peer.Identity.FailureDomain];
+    Domain.Known.push_back(&Peer);
+    if (Peers.alive(Peer, Now))
+      Domain.Alive.push_back(&Peer);
+  }
+  relay_plan Plan;
+  for (auto &[Name, Domain] : Domains) {
+    const bool Relayed =
+        !Domain.Alive.empty() && Domain.Known.size() > RelaysPerDomain;
+    if (!Relayed) {
+      Plan.Direct.insert(Plan.Direct.end(), Domain.Known.begin(),
+                         Domain.Known.end());
+      continue;
+    }
+    std::sort(Domain.Alive.begin(), Domain.Alive.end(),
+              [](const peer *Left, const peer *Right) {
+                return Left->Identity.Name < Right->Identity.Name;
+              });
+    const size_t Count = std::min(RelaysPerDomain, Domain.Alive.size());
+    for (size_t Index = 0; Index < Count; ++Index)
+      Plan.Relays.push_back(
+          Domain.Alive[(Round + Index) % Domain.Alive.size()]);
+  }
+  return Plan;
+}
+
+} // namespace magnolia::fleet
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Common/Log.h"
+#include "Fleet/RelayPlan.h"
 #include "Net/Event/Address.h"
 
 namespace magnolia::gateway {
@@ -24,6 +25,10 @@
 /// once.
 constexpr std::chrono::milliseconds UrgentDelay{3};
 constexpr std::chrono::milliseconds OldestEvent{3000};
+/// Instances of each other failure domain that pass a message on; urgent ones
+/// come by two ways, since one relay may have died unnoticed.
+constexpr size_t RelaysPerDomain = 1;
+constexpr size_t RelaysWhenUrgent = 2;
 
 uint64_t makeBoot() {
   absl::BitGen Random;
@@ -64,7 +69,7 @@
     : Loop(Loop), Settings(Settings), Board(Board),
       Instances(std::move(Instances)), Hooks(std::move(Hooks)),
       Boot(makeBoot()), Started(Loop.now()), Buckets(Settings.Rates),
-      Budgets(Settings.Budget, Started) {}
+      Budgets(Settings.Budget, Started), FarRound(Boot) {}
 
 absl::StatusOr<std::unique_ptr<fleet_agent>>
 fleet_agent::open(event::event_loop &Loop, const settings &Settings,
@@ -183,10 +188,27 @@
     Hooks.OnRows(*Rows);
     return;
   }
+  if (const auto *Relayed = std::get_if<fleet::relayed_message>(&*Message)) {
+    onRelayed(*Relayed);
+    return;
+  }
   if (!Peers->take(std::get<fleet::news_message>(*Message), Now))
     sayHello(From, true);
 }
 
+void fleet_agent::onRelayed(const fleet::relayed_message &Relayed) {
+  const auto Origin = event::parseAddress(Relayed.Origin);
+  if (!Origin.ok()) {
+    common::log(common::log_level::Warning, "Fleet", "relayed from nowhere",
+                {{"origin", Relayed.Origin}});
+    return;
+  }
+  if (Relayed.PassOn)
+    sendTo(audience::SameDomain, fleet::encode(fleet::relayed_message{
+                                     Relayed.Origin, false, Relayed.Bytes}));
+  onReceive(*Origin, Relayed.Bytes);
+}
+
 void fleet_agent::report(const placement::target &Target, evidence Evidence,
                          boot_time SentAt) {
   const bool Bad = isBad(Evidence);
@@ -246,16 +268,8 @@
 }
 
 void fleet_agent::tellPeriodically() {
-  tell(audience::SameDomain, true);
-  const told_state &Far = Told.at(static_cast<size_t>(audience::OtherDomains));
-  fleet::news_message News;
-  Hooks.Describe(News);
-  // A reader is replaced soon after it falls silent.
-  const bool Reads = News.Reading != fleet::reading_state::NotReading;
-  const bool Due = Loop.now() - Far.LastTold + Settings.Talk.Period / 2 >=
-                   Settings.Talk.FarPeriod;
-  if (Reads || Due || Buckets.hasUrgentTotals(audience::OtherDomains))
-    tell(audience::OtherDomains, true);
+  for (const audience Audience : Audiences)
+    tell(Audience, true);
 }
 
 void fleet_agent::tell(audience Audience, bool Periodic) {
@@ -273,7 +287,25 @@
   State.LastTold = Now;
   if (Everything)
     State.LastEverything = Now;
-  sendTo(Audience, fleet::encode(makeNews(Audience, Everything)));
+  const std::string Bytes = fleet::encode(makeNews(Audience, Everything));
+  if (Audience == audience::SameDomain)
+    sendTo(Audience, Bytes);
+  else
+    sendFar(Bytes, !Periodic);
+}
+
+void fleet_agent::sendFar(std::string_view Bytes, bool Urgent) {
+  const fleet::relay_plan Plan = fleet::planRelays(
+      *Peers, Settings.Identity.FailureDomain,
+      Urgent ? RelaysWhenUrgent : RelaysPerDomain, FarRound++, Loop.now());
+  for (const fleet::peer *Peer : Plan.Direct)
+    sendTo(*Peer, Bytes);
+  if (Plan.Relays.empty())
+    return;
+  const std::string Relayed = fleet::encode(fleet::relayed_message{
+      Settings.Identity.PeerAddress, true, std::string(Bytes)});
+  for (const fleet::peer *Peer : Plan.Relays)
+    sendTo(*Peer, Relayed);
 }
 
 void fleet_agent::sendTo(audience Audience, std::string_view Bytes) {
@@ -282,10 +314,14 @@
         Peer.Identity.FailureDomain == Settings.Identity.FailureDomain;
     if (Near != (Audience == audience::SameDomain))
       continue;
-    const auto Address = event::parseAddress(Peer.Identity.PeerAddress);
-    if (Address.ok())
-      Socket->send(*Address, Bytes);
+    sendTo(Peer, Bytes);
   }
 }
 
+void fleet_agent::sendTo(const fleet::peer &Peer, std::string_view Bytes) {
+  const auto Address = event::parseAddress(Peer.Identity.PeerAddress);
+  if (Address.ok())
+    Socket->send(*Address, Bytes);
+}
+
 } // namespace magnolia::gateway
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -80,11 +80,15 @@
   void registerInstance();
   void readInstances();
   void onReceive(const sockaddr_in &From, std::string_view Bytes);
+  void onRelayed(const fleet::relayed_message &Relayed);
   void sayHello(const sockaddr_in &To, bool WantsReply);
   void tellPeriodically();
   void tell(fleet::audience Audience, bool Periodic);
   fleet::news_message makeNews(fleet::audience Audience, bool Everything);
   void sendTo(fleet::audience Audience, std::string_view Bytes);
+  void sendTo(const fleet::peer &Peer, std::string_view Bytes);
+  /// Sends \p Bytes to all other failure domains, once or twice to each.
+  void sendFar(std::string_view Bytes, bool Urgent);
 
   event::event_loop &Loop;
   const settings &Settings;
@@ -98,6 +102,8 @@
   fleet::fleet_buckets Buckets;
   fleet::fleet_budgets Budgets;
   std::array<told_state, fleet::AudienceCount> Told;
+  /// Counts the messages to other failure domains.
+  uint64_t FarRound;
   bool TellPlanned = false;
   bool Registered = false;
   bool Read = false;
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -66,8 +66,6 @@
 /// How peers are kept informed.
 struct talk_settings {
   duration Period = std::chrono::milliseconds(250);
-  /// The same for instances of other failure domains, while nothing is urgent.
-  duration FarPeriod = std::chrono::milliseconds(500);
   /// A message goes out at least this often.
   duration Heartbeat = std::chrono::milliseconds(400);
   /// All totals are told this often, since messages may be lost.
--- a/Source/UnitTests/Fleet/FleetMessageTest.cpp
+++ b/Source/UnitTests/Fleet/FleetMessageTest.cpp
@@ -50,6 +50,16 @@
     CHECK(Same.Events[1].AgeMs == 60);
     CHECK(encode(News).size() < 100);
   }
+  SUBCASE("are passed on whole") {
+    const std::string Bytes = encode(news_message());
+    const auto Read =
+        decode(encode(relayed_message{"10.0.0.1:7", true, Bytes}));
+    REQUIRE(Read.ok());
+    const auto &Same = std::get<relayed_message>(*Read);
+    CHECK(Same.Origin == "10.0.0.1:7");
+    CHECK(Same.PassOn);
+    CHECK(Same.Bytes == Bytes);
+  }
   SUBCASE("are told apart from anything else") {
     CHECK_FALSE(decode("").ok());
     CHECK_FALSE(decode("hello").ok());
--- a/Source/UnitTests/Fleet/PeerViewTest.cpp
+++ b/Source/UnitTests/Fleet/PeerViewTest.cpp
@@ -118,6 +118,18 @@
     REQUIRE(Events.size() == 2);
     CHECK(Events[1].Target == 8);
   }
+  SUBCASE("does not go back to a state that a later message has ended") {
+    View.take(Hello, Now);
+    news_message Later = News;
+    Later.State = instance_state::Leaving;
+    Later.Events = {{9, evidence::Accepted, 60}};
+    Later.Workspaces = {{5, 3}};
+    News.Workspaces = {{5, 2}};
+    View.take(Later, Now);
+    View.take(News, Now);
+    CHECK(View.peers().at("other").State == instance_state::Leaving);
+    CHECK(WorkspaceUse == 3);
+  }
   SUBCASE(
       "believes one that had the store all the while, though more lost it") {
     for (const uint64_t Boot : {2UL, 3UL, 4UL}) {
