--- /dev/null
+++ b/Source/UnitTests/Net/Upstream/UpstreamCalls.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+
+#include "Common/ErrorKind.h"
+#include "Net/Upstream/UpstreamPool.h"
+#include "ScriptedServer.h"
+
+/// Sends requests through a pool to scripted servers, for tests.
+namespace magnolia::test {
+
+inline constexpr std::chrono::seconds Plenty{20};
+inline constexpr const char *Id = "id-1";
+
+common::boot_time later();
+
+net::upstream_request requestTo(const std::string &Path);
+
+/// What a caller sees of one attempt.
+struct seen {
+  absl::StatusOr<net::answer_head> Head;
+  std::string Body;
+  absl::Status End;
+  request::attempt_outcome Outcome;
+};
+
+/// Reads an answer to its end.
+seen follow(net::answer_stream Stream);
+
+seen send(net::upstream_pool &Pool, net::upstream_request Request,
+          const std::string &Address);
+
+scripted_server::script answering(std::string Bytes);
+
+/// Reads the request, answers and waits, so that only the answer's own framing
+/// can end it.
+scripted_server::script answeringOpen(std::string Bytes);
+
+/// The bytes of an answer to the request \c Id.
+std::string answer(const std::string &Headers, const std::string &Body,
+                   const std::string &Status = "200 OK");
+
+extern const std::string Hello;
+
+/// Sends one request to a server that follows \p Script.
+seen sendOnce(net::upstream_pool &Pool, scripted_server::script Script);
+
+void checkFailure(const seen &Seen, common::error_kind Kind,
+                  common::execution Execution);
+
+} // namespace magnolia::test
