--- a/Source/Core/Fleet/RelayPlan.h
+++ b/Source/Core/Fleet/RelayPlan.h
@@ -18,12 +18,11 @@
 };
 
 /// Plans the sending of one message. Bytes between failure domains are dear, so
-/// that a message goes there once and is passed on inside; \p RelaysPerDomain
-/// of them where its loss would cost requests. \p Round changes from message to
-/// message, so that a relay which is gone without being noticed costs single
-/// messages and the next ones make up for them. A domain in which nobody was
-/// heard lately, or that has no more instances than relays, is sent the message
-/// directly.
+/// it goes to \p RelaysPerDomain instances of each other domain, which pass it
+/// on there. \p Round grows from message to message, so that each takes other
+/// relays: one that died unnoticed costs single messages, and later ones make
+/// up for them. Where nobody was heard lately, or there are no more instances
+/// than relays, all get the message directly.
 relay_plan planRelays(const peer_view &Peers, std::string_view OwnDomain,
                       size_t RelaysPerDomain, uint64_t Round, boot_time Now);
 
--- a/Source/Core/Placement/EpisodeLength.cpp
+++ b/Source/Core/Placement/EpisodeLength.cpp
@@ -4,12 +4,14 @@
 #include <cmath>
 #include <numeric>
 
+#include <absl/types/span.h>
+
 namespace magnolia::placement {
 namespace {
 
 /// Ages and candidate lengths are multiples of this many seconds.
 constexpr double Step = 0.5;
-/// Before anything was seen, in seconds.
+/// Mean and standard deviation before anything was seen, in seconds.
 constexpr double ExpectedLength = 10;
 constexpr double ExpectedSpread = 2.5;
 /// How likely a request fails within an episode and after it.
@@ -17,7 +19,7 @@
 constexpr double FailsAfter = 0.05;
 /// Requests to one target in one episode are not independent of each other.
 constexpr double Weight = 0.5;
-/// What the last fifty requests showed counts most.
+/// What a request showed counts for the next fifty or so, since lengths change.
 constexpr double Kept = 0.98;
 
 double lengthAt(size_t Index) { return Step * static_cast<double>(Index + 1); }
--- a/Source/Core/Placement/EpisodeLength.h
+++ b/Source/Core/Placement/EpisodeLength.h
@@ -3,8 +3,6 @@
 #include <array>
 #include <cstddef>
 
-#include <absl/types/span.h>
-
 #include "Placement/TargetEntry.h"
 
 namespace magnolia::placement {
--- a/Source/Core/Placement/TargetBoard.h
+++ b/Source/Core/Placement/TargetBoard.h
@@ -38,8 +38,8 @@
   /// A target gets a request at least this often, so that what is known of it
   /// stays new and no part of the capacity stays out for good.
   duration TestEvery = std::chrono::milliseconds(800);
-  /// One of another failure domain, where others test it more cheaply, gets one
-  /// only after this time.
+  /// One of another failure domain gets one only after this time: instances
+  /// there test it more cheaply.
   duration TestElsewhereEvery = std::chrono::milliseconds(1600);
   /// One that is more likely gray than this is left out of that: a test costs a
   /// request.
@@ -168,12 +168,14 @@
 
 private:
   bool usable(const target &Target, const placement_question &Question) const;
-  /// How long a target that failed is left out; longer than any test waits
-  /// while few requests fail.
+  /// How long a target that is taken to be gray is left out after its last
+  /// failure; without end while few requests fail, since the belief returns.
   duration pauseAfterFailure(double Unserved, size_t LeftOut) const;
   std::vector<target_ref> dueForTest(const placement_question &Question,
                                      boot_time Now) const;
   bool unused(const target &Target, boot_time Now) const;
+  /// Requests a second that should go to \p Due from the whole fleet, as far as
+  /// this instance has to care for them.
   double testsWanted(absl::Span<const target_ref> Due) const;
   target_ref chooseTested(const placement_question &Question, boot_time Now,
                           absl::BitGenRef Random) const;
@@ -181,7 +183,7 @@
 
   const placement_settings Settings;
   const std::string FailureDomain;
-  /// Targets hold on to it, also when they are gone and a request still waits.
+  /// Each target of this board points to it.
   const std::unique_ptr<episode_length> Length =
       std::make_unique<episode_length>();
   absl::flat_hash_map<std::string, target_ref> ById;
