--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -9,11 +9,13 @@
 
 using json = nlohmann::json;
 
-// The first element of a message is its kind.
+// The first element of a message is its kind. Numbers of kinds that earlier
+// versions sent with other content are not used again.
 constexpr int HelloKind = 1;
-constexpr int UpdateKind = 2;
-constexpr int RowsKind = 3;
-constexpr int RelayedKind = 4;
+constexpr int UpdateKind = 5;
+constexpr int EventsKind = 6;
+constexpr int RowsKind = 7;
+constexpr int BundleKind = 8;
 // instance_state and reading_state are encoded in one number.
 constexpr int ReadingFactor = 8;
 
@@ -45,24 +47,43 @@
   return Flat;
 }
 
+json toJson(const std::vector<target_event> &Events) {
+  json Flat = json::array();
+  for (const target_event &Event : Events) {
+    Flat.push_back(Event.Target);
+    Flat.push_back(static_cast<int>(Event.Evidence));
+    Flat.push_back(Event.AgeMs);
+  }
+  return Flat;
+}
+
+json toJson(const events_message &Events) {
+  return json::array(
+      {EventsKind, Events.Boot, Events.First, toJson(Events.Events)});
+}
+
+json toJson(const std::array<table_status, TableCount> &Tables) {
+  json Flat = json::array();
+  for (const table_status &Status : Tables) {
+    Flat.push_back(Status.Version);
+    Flat.push_back(Status.Digest);
+  }
+  const bool Empty = Tables == std::array<table_status, TableCount>();
+  return Empty ? json::array() : Flat;
+}
+
 json toJson(const update_message &Update) {
   json InFlight = json::array();
   for (const auto &Entry : Update.InFlight) {
     InFlight.push_back(Entry.Key);
     InFlight.push_back(Entry.Count);
   }
-  json Events = json::array();
-  for (const target_event &Event : Update.Events) {
-    Events.push_back(Event.Target);
-    Events.push_back(static_cast<int>(Event.Evidence));
-    Events.push_back(Event.AgeMs);
-  }
   const int State = static_cast<int>(Update.State) +
                     ReadingFactor * static_cast<int>(Update.Reading);
-  return json::array(
-      {UpdateKind, Update.Boot, State, Update.ConfigurationChange,
-       Update.TargetsChange, toJson(Update.Workspaces), toJson(Update.Services),
-       std::move(InFlight), Update.FirstEvent, std::move(Events)});
+  return json::array({UpdateKind, Update.Boot, State, Update.Number,
+                      toJson(Update.Tables), toJson(Update.Workspaces),
+                      toJson(Update.Services), std::move(InFlight),
+                      Update.FirstEvent, toJson(Update.Events)});
 }
 
 json toJson(absl::Span<const stored_row> Rows) {
@@ -79,14 +100,18 @@
 }
 
 json toJson(const rows_message &Rows) {
-  return json::array({RowsKind, Rows.Boot, static_cast<int>(Rows.Table),
-                      Rows.After, toJson(absl::MakeConstSpan(Rows.Rows))});
+  return json::array({RowsKind, static_cast<int>(Rows.Table),
+                      toJson(absl::MakeConstSpan(Rows.Rows))});
 }
 
-json toJson(const relayed_message &Relayed) {
+json toJson(const bundle_message &Bundle) {
+  json Flat = json::array();
+  for (const bundled_message &Each : Bundle.Messages) {
+    Flat.push_back(Each.Origin);
+    Flat.push_back(json::binary_t({Each.Bytes.begin(), Each.Bytes.end()}));
+  }
   return json::array(
-      {RelayedKind, Relayed.Origin, Relayed.Forward,
-       json::binary_t({Relayed.Bytes.begin(), Relayed.Bytes.end()})});
+      {BundleKind, static_cast<int>(Bundle.Route), std::move(Flat)});
 }
 
 std::string textFrom(const json &Value) {
@@ -110,22 +135,34 @@
 
 absl::StatusOr<message> rowsMessageFrom(const json &Value) {
   rows_message Rows;
-  Rows.Boot = Value.at(1).get<uint64_t>();
-  const auto Table = Value.at(2).get<uint32_t>();
+  const auto Table = Value.at(1).get<uint32_t>();
   if (Table >= static_cast<uint32_t>(table_id::Count))
     return absl::InvalidArgumentError("rows message names an unknown table");
   Rows.Table = static_cast<table_id>(Table);
-  Rows.After = Value.at(3).get<uint64_t>();
-  Rows.Rows = rowsFrom(Value.at(4));
+  Rows.Rows = rowsFrom(Value.at(2));
   return Rows;
 }
 
-relayed_message relayedFrom(const json &Value) {
-  relayed_message Relayed;
-  Relayed.Origin = Value.at(1).get<std::string>();
-  Relayed.Forward = Value.at(2).get<bool>();
-  Relayed.Bytes = textFrom(Value.at(3));
-  return Relayed;
+absl::StatusOr<message> bundleFrom(const json &Value) {
+  bundle_message Bundle;
+  const auto Route = Value.at(1).get<uint32_t>();
+  if (Route >= static_cast<uint32_t>(bundle_route::Count))
+    return absl::InvalidArgumentError("bundle with an unknown route");
+  Bundle.Route = static_cast<bundle_route>(Route);
+  const json &Flat = Value.at(2);
+  for (size_t Index = 0; Index + 1 < Flat.size(); Index += 2)
+    Bundle.Messages.push_back(
+        {Flat[Index].get<std::string>(), textFrom(Flat[Index + 1])});
+  return Bundle;
+}
+
+std::array<table_status, TableCount> tablesFrom(const json &Flat) {
+  std::array<table_status, TableCount> Tables;
+  for (size_t Index = 0; Index < TableCount && 2 * Index + 1 < Flat.size();
+       ++Index)
+    Tables.at(Index) = {Flat[2 * Index].get<uint64_t>(),
+                        Flat[2 * Index + 1].get<uint32_t>()};
+  return Tables;
 }
 
 instance_state stateFrom(int Number) {
@@ -172,14 +209,28 @@
   return Totals;
 }
 
+std::vector<target_event> eventsFrom(const json &Flat) {
+  std::vector<target_event> Events;
+  for (size_t Index = 0; Index + 2 < Flat.size(); Index += 3) {
+    const auto Kind = Flat[Index + 1].get<uint32_t>();
+    // Dropping an unknown kind would shift the numbers of those behind it.
+    if (Kind >= static_cast<uint32_t>(placement::evidence::Count))
+      break;
+    Events.push_back({Flat[Index].get<uint32_t>(),
+                      static_cast<placement::evidence>(Kind),
+                      Flat[Index + 2].get<uint32_t>()});
+  }
+  return Events;
+}
+
 update_message updateFrom(const json &Value) {
   update_message Update;
   Update.Boot = Value.at(1).get<uint64_t>();
   const int State = Value.at(2).get<int>();
   Update.State = stateFrom(State % ReadingFactor);
   Update.Reading = readingFrom(State / ReadingFactor);
-  Update.ConfigurationChange = Value.at(3).get<uint64_t>();
-  Update.TargetsChange = Value.at(4).get<uint64_t>();
+  Update.Number = Value.at(3).get<uint64_t>();
+  Update.Tables = tablesFrom(Value.at(4));
   Update.Workspaces = workspacesFrom(Value.at(5));
   Update.Services = servicesFrom(Value.at(6));
   const json &InFlight = Value.at(7);
@@ -187,18 +238,18 @@
     Update.InFlight.push_back(
         {InFlight[Index].get<uint32_t>(), InFlight[Index + 1].get<uint32_t>()});
   Update.FirstEvent = Value.at(8).get<uint64_t>();
-  const json &Events = Value.at(9);
-  for (size_t Index = 0; Index + 2 < Events.size(); Index += 3) {
-    const auto Kind = Events[Index + 1].get<uint32_t>();
-    if (Kind >= static_cast<uint32_t>(placement::evidence::Count))
-      continue;
-    Update.Events.push_back({Events[Index].get<uint32_t>(),
-                             static_cast<placement::evidence>(Kind),
-                             Events[Index + 2].get<uint32_t>()});
-  }
+  Update.Events = eventsFrom(Value.at(9));
   return Update;
 }
 
+events_message eventsMessageFrom(const json &Value) {
+  events_message Events;
+  Events.Boot = Value.at(1).get<uint64_t>();
+  Events.First = Value.at(2).get<uint64_t>();
+  Events.Events = eventsFrom(Value.at(3));
+  return Events;
+}
+
 } // namespace
 
 std::string encode(const message &Message) {
@@ -217,30 +268,34 @@
       return helloFrom(Value);
     if (Kind == UpdateKind)
       return updateFrom(Value);
+    if (Kind == EventsKind)
+      return eventsMessageFrom(Value);
     if (Kind == RowsKind)
       return rowsMessageFrom(Value);
-    if (Kind == RelayedKind)
-      return relayedFrom(Value);
+    if (Kind == BundleKind)
+      return bundleFrom(Value);
   } catch (const json::exception &Error) {
     return absl::InvalidArgumentError(Error.what());
   }
   return absl::InvalidArgumentError("unknown kind of fleet message");
 }
 
-std::string encodeSnapshot(absl::Span<const stored_row> Rows,
-                           uint64_t Version) {
+std::string encodeContent(const table_content &Content) {
   std::string Bytes;
-  json::to_cbor(json::array({Version, toJson(Rows)}), Bytes);
+  json::to_cbor(json::array({Content.Version, Content.ChangesOnly,
+                             toJson(absl::MakeConstSpan(Content.Rows))}),
+                Bytes);
   return Bytes;
 }
 
-absl::StatusOr<table_snapshot> decodeSnapshot(std::string_view Bytes) {
+absl::StatusOr<table_content> decodeContent(std::string_view Bytes) {
   try {
     const json Value = json::from_cbor(Bytes);
-    table_snapshot Table;
-    Table.Version = Value.at(0).get<uint64_t>();
-    Table.Rows = rowsFrom(Value.at(1));
-    return Table;
+    table_content Content;
+    Content.Version = Value.at(0).get<uint64_t>();
+    Content.ChangesOnly = Value.at(1).get<bool>();
+    Content.Rows = rowsFrom(Value.at(2));
+    return Content;
   } catch (const json::exception &Error) {
     return absl::InvalidArgumentError(Error.what());
   }
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -8,7 +9,7 @@
 
 #include <absl/status/statusor.h>
 
-#include "Fleet/StoredRow.h"
+#include "Fleet/SharedTable.h"
 #include "Placement/TargetSet.h"
 
 /// The messages that the instances of a fleet send each other as datagrams, and
@@ -42,10 +43,11 @@
 
 /// The tables of the store that instances forward to each other.
 enum class table_id : uint8_t { Configuration, Targets, Count };
+constexpr size_t TableCount = static_cast<size_t>(table_id::Count);
 
 /// The receivers of an instance's updates: the instances of its own failure
-/// domain directly, others through relays, since traffic between failure
-/// domains is expensive.
+/// domain directly, others through a collector and relays, since traffic
+/// between failure domains is expensive.
 enum class audience : uint8_t { SameDomain, OtherDomains, Count };
 constexpr size_t AudienceCount = static_cast<size_t>(audience::Count);
 
@@ -100,11 +102,14 @@
 /// What changed since the sender's last update.
 struct update_message {
   uint64_t Boot = 0;
+  /// Increases with each update of the sender; they take different paths and
+  /// may arrive out of order.
+  uint64_t Number = 0;
   instance_state State = instance_state::Starting;
   reading_state Reading = reading_state::NotReading;
-  /// The version of the last change of each table that the sender knows.
-  uint64_t ConfigurationChange = 0;
-  uint64_t TargetsChange = 0;
+  /// What the sender has of each table, in the order of table_id; empty in an
+  /// update that does not say.
+  std::array<table_status, TableCount> Tables;
   std::vector<workspace_total> Workspaces;
   std::vector<service_total> Services;
   /// Targets that are not listed have no requests in flight.
@@ -114,28 +119,47 @@
   std::vector<target_event> Events;
 };
 
+/// Evidence about targets that must not wait for the next update. Its events
+/// are numbered like those of the updates, which repeat the last ones.
+struct events_message {
+  uint64_t Boot = 0;
+  uint64_t First = 0;
+  std::vector<target_event> Events;
+};
+
 /// Changes of a table that the sender read from the store.
 struct rows_message {
-  uint64_t Boot = 0;
   table_id Table = table_id::Targets;
-  /// The version of the change before the first row.
-  uint64_t After = 0;
   std::vector<stored_row> Rows;
 };
 
-/// Another instance's message that the receiver forwards inside its failure
-/// domain, or that was forwarded in this way.
-struct relayed_message {
-  /// "IPv4:port" of the instance that sent the message first.
+/// What the receiver of a bundle does with it, besides applying the messages.
+enum class bundle_route : uint8_t {
+  /// Nothing: it is the last one.
+  Deliver,
+  /// It is a relay and forwards the bundle inside its failure domain.
+  ForwardInDomain,
+  /// It is the collector of the sender's failure domain and forwards the
+  /// messages to all other domains, together with those of others.
+  Collect,
+  Count
+};
+
+/// An encoded message and the instance that sent it first.
+struct bundled_message {
+  /// "IPv4:port".
   std::string Origin;
-  /// Asks the receiver to forward the message; false in the forwarded copy.
-  bool Forward = false;
-  /// The encoded message.
   std::string Bytes;
 };
 
-using message =
-    std::variant<hello_message, update_message, rows_message, relayed_message>;
+/// Messages on their way to other failure domains.
+struct bundle_message {
+  bundle_route Route = bundle_route::Deliver;
+  std::vector<bundled_message> Messages;
+};
+
+using message = std::variant<hello_message, update_message, events_message,
+                             rows_message, bundle_message>;
 
 /// Encodes the message as one datagram.
 std::string encode(const message &Message);
@@ -143,13 +167,10 @@
 /// InvalidArgument if \p Bytes is not a valid message.
 absl::StatusOr<message> decode(std::string_view Bytes);
 
-/// Encodes a full table for a peer that has missed changes.
-std::string encodeSnapshot(absl::Span<const stored_row> Rows, uint64_t Version);
-struct table_snapshot {
-  std::vector<stored_row> Rows;
-  uint64_t Version = 0;
-};
-absl::StatusOr<table_snapshot> decodeSnapshot(std::string_view Bytes);
+/// Encodes what a peer fetches of a table.
+std::string encodeContent(const table_content &Content);
+/// InvalidArgument if \p Bytes is not valid content.
+absl::StatusOr<table_content> decodeContent(std::string_view Bytes);
 
 /// The key that identifies a workspace or a service in messages.
 uint32_t usageKey(std::string_view Name);
--- a/Source/Core/Fleet/PeerView.cpp
+++ b/Source/Core/Fleet/PeerView.cpp
@@ -48,29 +48,47 @@
   // A peer that was unreachable used only its own part of the rates.
   const bool Charged = isReachable(*Peer, Now);
   Peer->LastReceived = Now;
-  // Messages take different paths and may arrive out of order.
-  const bool OutOfOrder =
-      Update.FirstEvent + Update.Events.size() < Peer->NextEvent;
+  const bool OutOfOrder = Update.Number < Peer->LastUpdate;
   if (!OutOfOrder) {
+    Peer->LastUpdate = Update.Number;
     Peer->State = Update.State;
     Peer->Reading = Update.Reading;
+    if (Update.Tables != std::array<table_status, TableCount>())
+      Peer->Tables = Update.Tables;
   }
   for (const workspace_total &Total : Update.Workspaces)
     applyWorkspaceTotal(*Peer, Total, Charged);
   for (const service_total &Total : Update.Services)
     applyServiceTotal(*Peer, Total, Charged);
-  for (size_t Index = 0; Index < Update.Events.size(); ++Index) {
-    const uint64_t Number = Update.FirstEvent + Index;
-    if (Number < Peer->NextEvent)
-      continue;
-    Peer->NextEvent = Number + 1;
-    Hooks.OnEvent(Update.Events[Index]);
-  }
+  applyEvents(*Peer, Update.FirstEvent, Update.Events);
   if (!OutOfOrder)
     Hooks.OnUpdate(*Peer, Update);
   return true;
 }
 
+bool peer_view::apply(const events_message &Events) {
+  if (Events.Boot == OwnBoot)
+    return true;
+  peer *Peer = byBoot(Events.Boot);
+  if (Peer == nullptr)
+    return false;
+  // LastReceived stays: events carry no totals, and the time of the last update
+  // decides whether the next totals count.
+  applyEvents(*Peer, Events.First, Events.Events);
+  return true;
+}
+
+void peer_view::applyEvents(peer &Peer, uint64_t First,
+                            absl::Span<const target_event> Events) {
+  for (size_t Index = 0; Index < Events.size(); ++Index) {
+    const uint64_t Number = First + Index;
+    if (Number < Peer.NextEvent)
+      continue;
+    Peer.NextEvent = Number + 1;
+    Hooks.OnEvent(Events[Index]);
+  }
+}
+
 void peer_view::applyWorkspaceTotal(peer &Peer, const workspace_total &Total,
                                     bool Charged) {
   const auto [Found, First] =
--- a/Source/Core/Fleet/PeerView.h
+++ b/Source/Core/Fleet/PeerView.h
@@ -26,10 +26,14 @@
   instance_identity Identity;
   instance_state State = instance_state::Starting;
   reading_state Reading = reading_state::NotReading;
+  /// As in its last update that said so.
+  std::array<table_status, TableCount> Tables;
   boot_time LastReceived;
   /// It started before this instance, so its first totals include requests from
   /// before this instance's start.
   bool StartedEarlier = false;
+  /// Number of the latest update that was applied.
+  uint64_t LastUpdate = 0;
   /// Sequence number of the next event that was not applied yet.
   uint64_t NextEvent = 0;
   absl::flat_hash_map<uint32_t, workspace_total> Workspaces;
@@ -68,6 +72,7 @@
 
   /// False if the sender is unknown and must introduce itself.
   bool apply(const update_message &Update, boot_time Now);
+  bool apply(const events_message &Events);
 
   /// Whether a message of \p Peer arrived within UnreachableAfter.
   bool isReachable(const peer &Peer, boot_time Now) const {
@@ -95,6 +100,8 @@
 
 private:
   peer *byBoot(uint64_t Boot);
+  void applyEvents(peer &Peer, uint64_t First,
+                   absl::Span<const target_event> Events);
   void applyWorkspaceTotal(peer &Peer, const workspace_total &Total,
                            bool Charged);
   void applyServiceTotal(peer &Peer, const service_total &Total, bool Charged);
--- a/Source/Core/Fleet/SharedTable.h
+++ b/Source/Core/Fleet/SharedTable.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,56 +12,103 @@
 
 namespace magnolia::fleet {
 
-/// Called when the content of a table changes.
+/// What a table's owner provides.
 struct table_hooks {
   /// The table now holds exactly these rows.
   std::function<void(const std::vector<stored_row> &Rows)> OnSnapshot;
   std::function<void(const stored_row &Row)> OnChange;
+  /// A hash of what matters in a row's value, the same on every instance. A
+  /// row whose hash stays the same was only renewed by its owner, and peers do
+  /// not hear of it. Without this hook the whole value matters.
+  std::function<uint64_t(const stored_row &Row)> HashOf;
 };
 
-/// Whether changes that a peer forwarded could be applied.
-enum class relay_result : uint8_t {
-  Applied,
-  /// All of them are already in the replica.
-  Known,
-  /// Earlier changes are missing.
-  Gap,
+/// Which content of a table an instance has.
+struct table_status {
+  /// Every change up to this version is included; zero without content.
+  uint64_t Version = 0;
+  /// Equal for equal keys and hashes of rows.
+  uint32_t Digest = 0;
+
+  friend bool operator==(const table_status &, const table_status &) = default;
+};
+
+/// The content that a peer fetches.
+struct table_content {
+  /// Every change up to this version is included.
+  uint64_t Version = 0;
+  /// The rows are the changes that the peer lacks; otherwise the full table.
+  bool ChangesOnly = false;
+  std::vector<stored_row> Rows;
 };
 
 /// One instance's replica of a table of the store, updated by the store or by
 /// peers. Each change is applied once and none is undone by an older one, in
-/// whatever order they arrive. Reads no clock; not thread-safe.
+/// whatever order they arrive. Peers forward changes that may be lost; replicas
+/// with equal digests hold the same content, so that each learns from the
+/// status of the others whether it missed one. Load pattern: hundreds of
+/// targets that renew their rows every second or two, nearly always without a
+/// change. Reads no clock; not thread-safe.
 class shared_table {
 public:
   explicit shared_table(table_hooks Hooks) : Hooks(std::move(Hooks)) {}
 
   /// Replaces the content by the full table at \p Version, from the store or a
-  /// peer. An older snapshot changes nothing.
+  /// peer; rows with later changes stay. An older snapshot changes nothing.
   void applySnapshot(const std::vector<stored_row> &Rows, uint64_t Version);
 
   /// Applies the changes up to \p Version, from the store. Returns those that
-  /// are new.
+  /// change the digest.
   std::vector<stored_row> applyChanges(absl::Span<const stored_row> Rows,
                                        uint64_t Version);
 
-  /// Applies all changes after \p After up to the last of \p Rows, from a peer.
-  relay_result applyRelayed(uint64_t After, absl::Span<const stored_row> Rows);
+  /// Applies single changes that a peer forwarded.
+  void applyForwarded(absl::Span<const stored_row> Rows);
+
+  /// Applies what was fetched from a peer.
+  void applyContent(const table_content &Content);
 
-  /// The replica includes every change up to this version.
-  uint64_t knownThrough() const { return Known; }
-  /// The version of the last change in the replica.
-  uint64_t lastChange() const { return LastChanged; }
+  /// Compares the replica with that of a peer. Equal content includes every
+  /// change that the peer's does. False if the peer may have changes that the
+  /// replica lacks.
+  bool includes(const table_status &Status);
+
+  /// The content for a peer that has every change up to \p Version.
+  table_content contentAfter(uint64_t Version) const;
+
+  table_status status() const { return {Known, Digest}; }
   bool hasContent() const { return HasContent; }
 
-  std::vector<stored_row> rows() const;
+  /// Number of rows.
+  size_t size() const { return Rows.size(); }
 
 private:
-  void apply(const stored_row &Row);
+  struct entry {
+    stored_row Row;
+    uint64_t Hash = 0;
+    /// The version of the last change of the hash.
+    uint64_t ChangedAt = 0;
+  };
+
+  /// True if the digest changed.
+  bool apply(const stored_row &Row);
+  bool isOutdated(const stored_row &Row) const;
+  void put(const stored_row &Row);
+  bool removeRow(const std::string &Key, uint64_t Version);
+  void removeMissing(const std::vector<stored_row> &Snapshot, uint64_t Version);
+  void forgetOldRemovals();
+  uint64_t hashOf(const stored_row &Row) const;
+  std::vector<stored_row> allRows() const;
 
   const table_hooks Hooks;
-  std::map<std::string, stored_row> Rows;
+  std::map<std::string, entry> Rows;
+  /// The versions of removals by key: an earlier change that arrives late must
+  /// not bring the row back, and peers that fetch changes need them.
+  std::map<std::string, uint64_t> Removals;
+  /// The changes after this version are known one by one.
+  uint64_t ChangesSince = 0;
   uint64_t Known = 0;
-  uint64_t LastChanged = 0;
+  uint32_t Digest = 0;
   bool HasContent = false;
 };
 
--- a/Source/Core/Placement/TargetEntry.h
+++ b/Source/Core/Placement/TargetEntry.h
@@ -36,4 +36,8 @@
 /// The key of \p Entry, the same on every instance.
 target_key keyOf(const target_entry &Entry);
 
+/// A hash of all that matters to requests: all but what each report of a target
+/// changes, its sequence and how long it is still warming up.
+uint64_t identityHash(const target_entry &Entry);
+
 } // namespace magnolia::placement
--- a/Source/Core/Placement/TargetRegistry.cpp
+++ b/Source/Core/Placement/TargetRegistry.cpp
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
 
 #include "Common/Digest.h"
 #include "Common/StringView.h"
@@ -16,6 +17,17 @@
       common::stableHash(Entry.Id, static_cast<uint64_t>(Entry.StartedUnixMs)));
 }
 
+uint64_t identityHash(const target_entry &Entry) {
+  const std::string Numbers = absl::StrCat(
+      Entry.StartedUnixMs, "/", Entry.Capacity, "/", Entry.Draining ? 1 : 0,
+      "/", Entry.WarmupLeft > duration::zero() ? 1 : 0);
+  uint64_t Hash = 0;
+  for (const std::string &Part : {Entry.Id, Entry.Service, Entry.Address,
+                                  Entry.FailureDomain, Entry.Version, Numbers})
+    Hash = common::stableHash(Part, Hash);
+  return Hash;
+}
+
 void target_registry::put(const target_entry &Entry) {
   registered_entry &Registered = Entries[Entry.Id];
   const bool Known = !Registered.Entry.Id.empty();
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -262,14 +262,19 @@
 void target_set::setPeerInFlight(uint64_t Peer,
                                  absl::Span<const in_flight> Counts,
                                  boot_time Now) {
-  for (const auto &[Key, Target] : ByKey)
+  std::vector<target_ref> &Used = UsedByPeer[Peer];
+  for (const target_ref &Target : Used)
     Target->Peers.erase(Peer);
+  Used.clear();
   for (const in_flight &Count : Counts) {
     const auto Found = ByKey.find(Count.Key);
     if (Found == ByKey.end())
       continue;
     Found->second->Peers[Peer] = {Count.Count, Now};
+    Used.push_back(Found->second);
   }
+  if (Used.empty())
+    UsedByPeer.erase(Peer);
 }
 
 std::vector<target_set::in_flight> target_set::ownInFlight() const {
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -197,6 +197,8 @@
   absl::flat_hash_map<std::string, target_ref> ById;
   absl::flat_hash_map<target_key, target_ref> ByKey;
   absl::flat_hash_map<std::string, std::vector<target_ref>> ByService;
+  /// The targets at which each peer has requests in flight.
+  absl::flat_hash_map<uint64_t, std::vector<target_ref>> UsedByPeer;
 };
 
 } // namespace magnolia::placement
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -19,6 +19,9 @@
 constexpr int FirstServerError = 500;
 constexpr int MisdirectedRequest = 421;
 constexpr int GatewayTimeout = 504;
+/// A target that gives a request up this early counts as giving it up at its
+/// deadline.
+constexpr std::chrono::milliseconds EarlyGiveUp{15};
 /// Number of refusals by targets after which a request is given up.
 constexpr size_t MaxRefusals = 7;
 
@@ -98,8 +101,9 @@
 }
 
 bool exchange::gaveUpAtDeadline(const message::response &Response) const {
+  // The target was told a deadline that is earlier by the allowance.
   return Response.Status == GatewayTimeout &&
-         timeLeft() < Gateway.Settings.Forward.MinTimeLeft;
+         timeLeft() < Gateway.Settings.Forward.NetworkAllowance + EarlyGiveUp;
 }
 
 void exchange::onTargetError(message::response Response) {
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -1,11 +1,13 @@
 #include "Gateway/FleetAgent.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <absl/random/random.h>
 #include <nlohmann/json.hpp>
 
 #include "Common/Log.h"
+#include "Fleet/ReaderDecision.h"
 #include "Fleet/RelayPlan.h"
 #include "Net/Event/Address.h"
 
@@ -25,10 +27,15 @@
 /// Batches failures that occur together, such as many connections lost at once.
 constexpr std::chrono::milliseconds UrgentDelay{3};
 constexpr std::chrono::milliseconds MaxEventAge{3000};
-/// Relays for each other failure domain; urgent messages use two, since one
-/// relay may have failed undetected.
+/// Relays for each other failure domain. What is lost with a relay that failed
+/// undetected is repeated through the next one.
 constexpr size_t RelaysPerDomain = 1;
-constexpr size_t RelaysWhenUrgent = 2;
+/// How long a collector waits for more messages.
+constexpr std::chrono::milliseconds CollectDelay{40};
+/// Larger bundles may not fit into one packet.
+constexpr size_t MaxBundleBytes = 1200;
+/// Encoded size of a bundled message beyond its bytes and its origin.
+constexpr size_t BundledOverhead = 4;
 
 uint64_t makeBootId() {
   absl::BitGen Random;
@@ -69,7 +76,8 @@
     : Loop(Loop), Settings(Settings), TargetSet(TargetSet),
       Instances(std::move(Instances)), Hooks(std::move(Hooks)),
       Boot(makeBootId()), Started(Loop.now()), Buckets(Settings.Rates),
-      Budgets(Settings.Budget, Started), RelayRound(Boot) {}
+      Budgets(Settings.Budget, Started), RelayRound(Boot),
+      UrgentLimit(Settings.Urgent) {}
 
 absl::StatusOr<std::unique_ptr<fleet_agent>>
 fleet_agent::open(event::event_loop &Loop, const settings &Settings,
@@ -120,7 +128,14 @@
 void fleet_agent::start() {
   registerInstance();
   Loop.callEvery(Settings.Updates.Period, [this] { sendPeriodicUpdates(); });
-  Loop.callEvery(RereadPeriod, [this] { readInstances(); });
+  Loop.callEvery(RereadPeriod, [this] {
+    // Others learn from the updates of instances that they do not know.
+    const bool Preferred = fleet::decideReader(*Peers, Settings.Identity.Name,
+                                               Settings.Readers, Loop.now())
+                               .Preferred;
+    if (Preferred || !InstancesRead)
+      readInstances();
+  });
 }
 
 void fleet_agent::registerInstance() {
@@ -168,10 +183,13 @@
   Hello.WantsReply = WantsReply;
   Hello.Uptime = std::chrono::duration_cast<std::chrono::milliseconds>(
       Loop.now() - Started);
+  ++Traffic.Introductions;
   Socket->send(To, fleet::encode(Hello));
 }
 
 void fleet_agent::onReceive(const sockaddr_in &From, std::string_view Bytes) {
+  ++Traffic.Received;
+  Traffic.ReceivedBytes += Bytes.size();
   const auto Message = fleet::decode(Bytes);
   if (!Message.ok()) {
     common::log(common::log_level::Warning, "Fleet", "invalid peer message",
@@ -179,82 +197,124 @@
                  {"detail", std::string(Message.status().message())}});
     return;
   }
+  if (const auto *Bundle = std::get_if<fleet::bundle_message>(&*Message))
+    onBundle(*Bundle);
+  else
+    apply(From, *Message);
+}
+
+void fleet_agent::apply(const sockaddr_in &From,
+                        const fleet::message &Message) {
   const boot_time Now = Loop.now();
-  if (const auto *Hello = std::get_if<fleet::hello_message>(&*Message)) {
+  if (const auto *Hello = std::get_if<fleet::hello_message>(&Message)) {
     Peers->apply(*Hello, Now);
     if (Hello->WantsReply)
       sendHello(From, false);
     return;
   }
-  if (const auto *Rows = std::get_if<fleet::rows_message>(&*Message)) {
+  if (const auto *Rows = std::get_if<fleet::rows_message>(&Message)) {
     Hooks.OnRows(*Rows);
     return;
   }
-  if (const auto *Relayed = std::get_if<fleet::relayed_message>(&*Message)) {
-    onRelayed(*Relayed);
-    return;
-  }
-  if (!Peers->apply(std::get<fleet::update_message>(*Message), Now))
+  bool SenderKnown = true;
+  if (const auto *Update = std::get_if<fleet::update_message>(&Message))
+    SenderKnown = Peers->apply(*Update, Now);
+  else if (const auto *Events = std::get_if<fleet::events_message>(&Message))
+    SenderKnown = Peers->apply(*Events);
+  if (!SenderKnown)
     sendHello(From, true);
 }
 
-void fleet_agent::onRelayed(const fleet::relayed_message &Relayed) {
-  const auto Origin = event::parseAddress(Relayed.Origin);
-  if (!Origin.ok()) {
-    common::log(common::log_level::Warning, "Fleet",
-                "relayed message with invalid origin",
-                {{"origin", Relayed.Origin}});
+void fleet_agent::onBundle(const fleet::bundle_message &Bundle) {
+  if (Bundle.Route == fleet::bundle_route::Collect) {
+    // It is from the own failure domain, where it was also sent directly.
+    collect(Bundle.Messages);
     return;
   }
-  if (Relayed.Forward)
-    sendTo(audience::SameDomain, fleet::encode(fleet::relayed_message{
-                                     Relayed.Origin, false, Relayed.Bytes}));
-  onReceive(*Origin, Relayed.Bytes);
+  if (Bundle.Route == fleet::bundle_route::ForwardInDomain)
+    sendInDomain(fleet::encode(
+        fleet::bundle_message{fleet::bundle_route::Deliver, Bundle.Messages}));
+  deliver(Bundle);
+}
+
+void fleet_agent::deliver(const fleet::bundle_message &Bundle) {
+  for (const fleet::bundled_message &Each : Bundle.Messages) {
+    const auto Origin = event::parseAddress(Each.Origin);
+    const auto Message = fleet::decode(Each.Bytes);
+    const bool IsBundle =
+        Message.ok() && std::holds_alternative<fleet::bundle_message>(*Message);
+    if (!Origin.ok() || !Message.ok() || IsBundle) {
+      common::log(common::log_level::Warning, "Fleet",
+                  "invalid message in a bundle", {{"origin", Each.Origin}});
+      continue;
+    }
+    apply(*Origin, *Message);
+  }
 }
 
 void fleet_agent::report(const placement::target &Target, evidence Evidence,
-                         boot_time SentAt) {
+                         boot_time SentAt, bool IsNews) {
   const bool IsFailure = isFailure(Evidence);
   for (audience_state &State : AudienceStates)
     State.Events.push_back({Target.Key, Evidence, SentAt, IsFailure, 0});
-  if (IsFailure)
-    announce();
+  if (IsFailure && IsNews)
+    sendUrgentEvents();
 }
 
 void fleet_agent::announce() {
-  if (UpdateScheduled)
+  for (const audience Audience : Audiences)
+    scheduleUpdate(Audience);
+}
+
+void fleet_agent::announceInDomain() { scheduleUpdate(audience::SameDomain); }
+
+void fleet_agent::scheduleUpdate(audience Audience) {
+  bool &Scheduled = UpdateScheduled.at(static_cast<size_t>(Audience));
+  if (Scheduled)
+    return;
+  Scheduled = true;
+  Loop.callAfter(UrgentDelay, [this, Audience, &Scheduled] {
+    Scheduled = false;
+    sendUpdate(Audience, true);
+  });
+}
+
+void fleet_agent::sendUrgentEvents() {
+  if (EventsScheduled)
     return;
-  UpdateScheduled = true;
+  if (!UrgentLimit.tryAcquire(Peers->size() + 1, Loop.now())) {
+    ++Traffic.UrgentDelayed;
+    return;
+  }
+  EventsScheduled = true;
   Loop.callAfter(UrgentDelay, [this] {
-    UpdateScheduled = false;
-    for (const audience Audience : Audiences)
-      sendUpdate(Audience, false);
+    EventsScheduled = false;
+    for (const audience Audience : Audiences) {
+      const uint64_t First = stateOf(Audience).FirstEvent;
+      const std::string Bytes = fleet::encode(
+          fleet::events_message{Boot, First, takeEvents(Audience)});
+      if (Audience == audience::SameDomain)
+        sendInDomain(Bytes);
+      else
+        sendToOtherDomains({ownMessage(Bytes)});
+    }
   });
 }
 
 void fleet_agent::send(const fleet::rows_message &Rows) {
-  fleet::rows_message Own = Rows;
-  Own.Boot = Boot;
-  const std::string Bytes = fleet::encode(Own);
-  for (const audience Audience : Audiences)
-    sendTo(Audience, Bytes);
+  const std::string Bytes = fleet::encode(Rows);
+  sendInDomain(Bytes);
+  sendToOtherDomains({ownMessage(Bytes)});
 }
 
-fleet::update_message fleet_agent::makeUpdate(audience Audience, bool Full) {
+std::vector<fleet::target_event> fleet_agent::takeEvents(audience Audience) {
   const boot_time Now = Loop.now();
-  audience_state &State = AudienceStates.at(static_cast<size_t>(Audience));
-  fleet::update_message Update;
-  Update.Boot = Boot;
-  Update.State = Hooks.State();
-  Hooks.FillTableStatus(Update);
-  Update.Workspaces = Buckets.collectTotals(Audience, Full);
-  Update.Services = Budgets.collectTotals(Audience, Full);
-  Update.InFlight = TargetSet.ownInFlight();
-  Update.FirstEvent = State.FirstEvent;
+  audience_state &State = stateOf(Audience);
+  std::vector<fleet::target_event> Events;
   for (pending_event &Event : State.Events) {
     const auto Age = std::chrono::duration_cast<std::chrono::milliseconds>(
         std::max<duration>(Now - Event.SentAt, duration::zero()));
-    Update.Events.push_back(
+    Events.push_back(
         {Event.Target, Event.Evidence, static_cast<uint32_t>(Age.count())});
     ++Event.SentCount;
   }
@@ -268,63 +328,134 @@
     State.Events.pop_front();
     ++State.FirstEvent;
   }
+  return Events;
+}
+
+fleet::update_message fleet_agent::makeUpdate(audience Audience, bool Full) {
+  fleet::update_message Update;
+  Update.Boot = Boot;
+  Update.Number = ++LastUpdate;
+  Update.State = Hooks.State();
+  Hooks.FillTableStatus(Update);
+  // Other failure domains follow the readers; the others' tables tell them only
+  // where a change can be fetched.
+  if (Audience == audience::OtherDomains && !Full && !Hooks.IsReading())
+    Update.Tables = {};
+  Update.Workspaces = Buckets.collectTotals(Audience, Full);
+  Update.Services = Budgets.collectTotals(Audience, Full);
+  Update.InFlight = TargetSet.ownInFlight();
+  Update.FirstEvent = stateOf(Audience).FirstEvent;
+  Update.Events = takeEvents(Audience);
   return Update;
 }
 
 void fleet_agent::sendPeriodicUpdates() {
   for (const audience Audience : Audiences)
-    sendUpdate(Audience, true);
+    if (isUpdateDue(Audience))
+      sendUpdate(Audience, false);
+}
+
+bool fleet_agent::isUpdateDue(audience Audience) const {
+  const audience_state &State =
+      AudienceStates.at(static_cast<size_t>(Audience));
+  const duration SinceLast = Loop.now() - State.LastSent;
+  // Timers run a little late; a period of updates is due after half of it.
+  const duration Late = Settings.Updates.Period / 2;
+  if (Audience == audience::OtherDomains && !Hooks.IsReading() &&
+      SinceLast + Late < Settings.Updates.OtherDomainsPeriod)
+    return false;
+  return !State.Events.empty() || State.LastInFlight > 0 ||
+         !TargetSet.ownInFlight().empty() ||
+         SinceLast >= Settings.Updates.Heartbeat;
 }
 
-void fleet_agent::sendUpdate(audience Audience, bool Periodic) {
+void fleet_agent::sendUpdate(audience Audience, bool Urgent) {
   const boot_time Now = Loop.now();
-  audience_state &State = AudienceStates.at(static_cast<size_t>(Audience));
+  audience_state &State = stateOf(Audience);
   const bool Full = Now - State.LastFull >= Settings.Updates.FullUpdatePeriod;
-  const size_t InFlight = TargetSet.ownInFlight().size();
-  const bool IsDue = !State.Events.empty() || InFlight > 0 ||
-                     State.LastInFlight > 0 ||
-                     Now - State.LastSent >= Settings.Updates.Heartbeat;
-  if (Periodic && !IsDue)
-    return;
-  State.LastInFlight = InFlight;
   State.LastSent = Now;
   if (Full)
     State.LastFull = Now;
-  const std::string Bytes = fleet::encode(makeUpdate(Audience, Full));
+  const fleet::update_message Update = makeUpdate(Audience, Full);
+  State.LastInFlight = Update.InFlight.size();
+  std::string Bytes = fleet::encode(Update);
   if (Audience == audience::SameDomain)
-    sendTo(Audience, Bytes);
+    sendInDomain(Bytes);
+  else if (Urgent)
+    sendToOtherDomains({ownMessage(std::move(Bytes))});
   else
-    sendToOtherDomains(Bytes, !Periodic);
+    handToCollector(std::move(Bytes));
 }
 
-void fleet_agent::sendToOtherDomains(std::string_view Bytes, bool Urgent) {
-  const fleet::relay_plan Plan = fleet::planRelays(
-      *Peers, Settings.Identity.FailureDomain,
-      Urgent ? RelaysWhenUrgent : RelaysPerDomain, RelayRound++, Loop.now());
-  for (const fleet::peer *Peer : Plan.Direct)
-    sendTo(*Peer, Bytes);
+void fleet_agent::handToCollector(std::string Bytes) {
+  std::vector<fleet::bundled_message> Messages = {ownMessage(std::move(Bytes))};
+  const fleet::peer *Collector =
+      fleet::chooseCollector(*Peers, Settings.Identity, Settings.Collectors,
+                             CollectorRound++, Loop.now());
+  if (Collector == nullptr)
+    collect(std::move(Messages));
+  else
+    sendTo(*Collector, fleet::encode(fleet::bundle_message{
+                           fleet::bundle_route::Collect, std::move(Messages)}));
+}
+
+void fleet_agent::collect(std::vector<fleet::bundled_message> Messages) {
+  for (fleet::bundled_message &Each : Messages) {
+    const size_t Size =
+        Each.Bytes.size() + Each.Origin.size() + BundledOverhead;
+    if (CollectedBytes + Size > MaxBundleBytes)
+      sendCollected();
+    if (Collected.empty())
+      Loop.callAfter(CollectDelay, [this] { sendCollected(); });
+    Collected.push_back(std::move(Each));
+    CollectedBytes += Size;
+  }
+}
+
+void fleet_agent::sendCollected() {
+  if (Collected.empty())
+    return;
+  sendToOtherDomains(std::exchange(Collected, {}));
+  CollectedBytes = 0;
+}
+
+void fleet_agent::sendToOtherDomains(
+    std::vector<fleet::bundled_message> Messages) {
+  const fleet::relay_plan Plan =
+      fleet::planRelays(*Peers, Settings.Identity.FailureDomain,
+                        RelaysPerDomain, RelayRound++, Loop.now());
+  fleet::bundle_message Bundle{fleet::bundle_route::Deliver,
+                               std::move(Messages)};
+  if (!Plan.Direct.empty()) {
+    const std::string Bytes = fleet::encode(Bundle);
+    for (const fleet::peer *Peer : Plan.Direct)
+      sendTo(*Peer, Bytes);
+  }
   if (Plan.Relays.empty())
     return;
-  const std::string Relayed = fleet::encode(fleet::relayed_message{
-      Settings.Identity.PeerAddress, true, std::string(Bytes)});
+  Bundle.Route = fleet::bundle_route::ForwardInDomain;
+  const std::string Bytes = fleet::encode(Bundle);
   for (const fleet::peer *Peer : Plan.Relays)
-    sendTo(*Peer, Relayed);
+    sendTo(*Peer, Bytes);
 }
 
-void fleet_agent::sendTo(audience Audience, std::string_view Bytes) {
-  for (const auto &[Name, Peer] : Peers->peers()) {
-    const bool InOwnDomain =
-        Peer.Identity.FailureDomain == Settings.Identity.FailureDomain;
-    if (InOwnDomain != (Audience == audience::SameDomain))
-      continue;
-    sendTo(Peer, Bytes);
-  }
+void fleet_agent::sendInDomain(std::string_view Bytes) {
+  for (const auto &[Name, Peer] : Peers->peers())
+    if (Peer.Identity.FailureDomain == Settings.Identity.FailureDomain)
+      sendTo(Peer, Bytes);
 }
 
 void fleet_agent::sendTo(const fleet::peer &Peer, std::string_view Bytes) {
   const auto Address = event::parseAddress(Peer.Identity.PeerAddress);
-  if (Address.ok())
-    Socket->send(*Address, Bytes);
+  if (!Address.ok())
+    return;
+  const bool InOwnDomain =
+      Peer.Identity.FailureDomain == Settings.Identity.FailureDomain;
+  peer_traffic::sent &Sent = Traffic.Sent.at(static_cast<size_t>(
+      InOwnDomain ? audience::SameDomain : audience::OtherDomains));
+  ++Sent.Messages;
+  Sent.Bytes += Bytes.size();
+  Socket->send(*Address, Bytes);
 }
 
 } // namespace magnolia::gateway
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -7,9 +7,11 @@
 
 #include <absl/status/statusor.h>
 
+#include "Fleet/CollectorChoice.h"
 #include "Fleet/FleetBuckets.h"
 #include "Fleet/FleetBudgets.h"
 #include "Fleet/PeerView.h"
+#include "Fleet/UrgentLimit.h"
 #include "Gateway/Settings.h"
 #include "Gateway/Store.h"
 #include "Net/Event/Datagram.h"
@@ -17,14 +19,35 @@
 
 namespace magnolia::gateway {
 
+/// Datagrams to and from peers since the start.
+struct peer_traffic {
+  struct sent {
+    uint64_t Messages = 0;
+    uint64_t Bytes = 0;
+  };
+  /// By fleet::audience, of all kinds but introductions.
+  std::array<sent, fleet::AudienceCount> Sent;
+  uint64_t Introductions = 0;
+  uint64_t Received = 0;
+  uint64_t ReceivedBytes = 0;
+  /// Failures that waited for the next update, since too many urgent messages
+  /// were sent.
+  uint64_t UrgentDelayed = 0;
+};
+
 /// Exchanges status updates with all peers by datagram: their state, admitted
-/// requests and evidence about targets.
+/// requests and evidence about targets. The instances of one failure domain
+/// send each other their updates directly. A collector in each domain bundles
+/// those for the other domains, where a relay, another one for each bundle,
+/// forwards them to its neighbors.
 class fleet_agent {
 public:
   struct hooks {
     std::function<fleet::instance_state()> State;
     /// Fills in the status of the store tables.
     std::function<void(fleet::update_message &Update)> FillTableStatus;
+    /// Whether this instance reads the store.
+    std::function<bool()> IsReading;
     std::function<void(const fleet::peer &Peer,
                        const fleet::update_message &Update)>
         OnUpdate;
@@ -41,18 +64,21 @@
   /// Sends an update to all peers within milliseconds, for example when this
   /// instance starts draining.
   void announce();
+  /// The same for the peers of the own failure domain alone.
+  void announceInDomain();
 
   /// Forwards changed rows of a table to all peers.
   void send(const fleet::rows_message &Rows);
 
-  /// Queues the evidence of an attempt of this instance for the next update; a
-  /// failure is sent within milliseconds.
+  /// Queues the evidence of an attempt of this instance for the next update. A
+  /// failure that \p IsNews to the fleet is sent within milliseconds.
   void report(const placement::target &Target, placement::evidence Evidence,
-              boot_time SentAt);
+              boot_time SentAt, bool IsNews);
 
   fleet::fleet_buckets &buckets() { return Buckets; }
   fleet::fleet_budgets &budgets() { return Budgets; }
   const fleet::peer_view &peers() const { return *Peers; }
+  const peer_traffic &traffic() const { return Traffic; }
   double reachableFraction() const {
     return Peers->reachableFraction(Loop.now());
   }
@@ -86,16 +112,35 @@
   void registerInstance();
   void readInstances();
   void onReceive(const sockaddr_in &From, std::string_view Bytes);
-  void onRelayed(const fleet::relayed_message &Relayed);
+  /// Applies a message that is no bundle.
+  void apply(const sockaddr_in &From, const fleet::message &Message);
+  void onBundle(const fleet::bundle_message &Bundle);
+  /// Applies the messages of a bundle.
+  void deliver(const fleet::bundle_message &Bundle);
   void sendHello(const sockaddr_in &To, bool WantsReply);
   void sendPeriodicUpdates();
-  void sendUpdate(fleet::audience Audience, bool Periodic);
+  bool isUpdateDue(fleet::audience Audience) const;
+  audience_state &stateOf(fleet::audience Audience) {
+    return AudienceStates.at(static_cast<size_t>(Audience));
+  }
+  void sendUpdate(fleet::audience Audience, bool Urgent);
+  void scheduleUpdate(fleet::audience Audience);
+  void sendUrgentEvents();
   fleet::update_message makeUpdate(fleet::audience Audience, bool Full);
-  void sendTo(fleet::audience Audience, std::string_view Bytes);
+  /// The evidence to send to \p Audience, which counts as sent.
+  std::vector<fleet::target_event> takeEvents(fleet::audience Audience);
+  /// Hands an update for other failure domains to the collector.
+  void handToCollector(std::string Bytes);
+  /// Forwards messages to other failure domains, soon and with others.
+  void collect(std::vector<fleet::bundled_message> Messages);
+  void sendCollected();
+  void sendInDomain(std::string_view Bytes);
   void sendTo(const fleet::peer &Peer, std::string_view Bytes);
-  /// Sends \p Bytes to all other failure domains through relays; urgent
-  /// messages take two relays each.
-  void sendToOtherDomains(std::string_view Bytes, bool Urgent);
+  /// Sends messages to all other failure domains through relays.
+  void sendToOtherDomains(std::vector<fleet::bundled_message> Messages);
+  fleet::bundled_message ownMessage(std::string Bytes) const {
+    return {Settings.Identity.PeerAddress, std::move(Bytes)};
+  }
 
   event::event_loop &Loop;
   const settings &Settings;
@@ -109,9 +154,20 @@
   fleet::fleet_buckets Buckets;
   fleet::fleet_budgets Budgets;
   std::array<audience_state, fleet::AudienceCount> AudienceStates;
+  /// Number of the last update of this instance.
+  uint64_t LastUpdate = 0;
   /// Counts the messages to other failure domains, to rotate the relays.
   uint64_t RelayRound;
-  bool UpdateScheduled = false;
+  /// Counts this instance's updates, to rotate the collectors.
+  uint64_t CollectorRound = 0;
+  /// What this instance collected for other failure domains.
+  std::vector<fleet::bundled_message> Collected;
+  size_t CollectedBytes = 0;
+  fleet::urgent_limit UrgentLimit;
+  peer_traffic Traffic;
+  /// By audience.
+  std::array<bool, fleet::AudienceCount> UpdateScheduled{};
+  bool EventsScheduled = false;
   bool Registered = false;
   bool InstancesRead = false;
 };
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "Common/Digest.h"
 #include "Common/Log.h"
 #include "Gateway/Exchange.h"
 #include "Gateway/RequestLog.h"
@@ -20,6 +21,8 @@
 /// lists all instances.
 constexpr size_t MinNearbyInstances = 2;
 constexpr size_t MaxDirectoryEntries = 64;
+/// A failure of a target that failed this recently is no news to the fleet.
+constexpr std::chrono::milliseconds KnownFailureAge{1000};
 
 } // namespace
 
@@ -97,8 +100,9 @@
     Store->onUpdate(Peer, Update);
   };
   FleetHooks.OnRows = [this](const fleet::rows_message &Rows) {
-    Store->applyRelayed(Rows);
+    Store->applyForwarded(Rows);
   };
+  FleetHooks.IsReading = [this] { return Store->isReading(); };
   auto Agent = fleet_agent::open(Loop, Settings, TargetSet,
                                  Environment.Instances, std::move(FleetHooks));
   if (!Agent.ok())
@@ -124,6 +128,7 @@
   Hooks.Targets = targetHooks();
   Hooks.Send = [this](const fleet::rows_message &Rows) { Fleet->send(Rows); };
   Hooks.Announce = [this] { Fleet->announce(); };
+  Hooks.AnnounceInDomain = [this] { Fleet->announceInDomain(); };
   Store = std::make_unique<store_sharing>(
       Loop, Settings, Fleet->peers(), Environment.Configuration,
       Environment.Targets, std::move(Hooks));
@@ -188,6 +193,11 @@
 fleet::table_hooks gateway::targetHooks() {
   fleet::table_hooks Hooks;
   Hooks.OnChange = [this](const stored_row &Row) { applyTarget(Row); };
+  Hooks.HashOf = [this](const stored_row &Row) {
+    const auto Entry = Environment.Decoders.Target(Row.Key, Row.Value);
+    return Entry.ok() ? placement::identityHash(*Entry)
+                      : common::stableHash(Row.Value);
+  };
   Hooks.OnSnapshot = [this](const std::vector<stored_row> &Rows) {
     std::vector<std::string> Ids;
     for (const stored_row &Row : Rows) {
@@ -249,9 +259,11 @@
 void gateway::observe(std::string_view RequestId, placement::target &Target,
                       placement::evidence Evidence, boot_time SentAt) {
   const boot_time Now = Loop.now();
+  const bool IsNews = Target.Fleet.lastFailure() == boot_time() ||
+                      Now - Target.Fleet.lastFailure() > KnownFailureAge;
   TargetSet.observe(Target, Evidence, SentAt, Now);
   if (Evidence != placement::evidence::Unreachable)
-    Fleet->report(Target, Evidence, SentAt);
+    Fleet->report(Target, Evidence, SentAt, IsNews);
   logEvidence(RequestId, Target, Evidence, Now - SentAt, Now);
 }
 
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -84,6 +84,9 @@
 
   const settings &settingsInForce() const { return Settings; }
 
+  /// Datagrams to and from other instances.
+  const peer_traffic &peerTraffic() const { return Fleet->traffic(); }
+
   /// Counters, gauges and latencies in the Prometheus text format.
   std::string metricsText() { return Metrics.write(); }
 
@@ -116,6 +119,7 @@
   void addRequestSamples(std::vector<common::metric_sample> &Samples) const;
   void addTargetSamples(std::vector<common::metric_sample> &Samples) const;
   void addFleetSamples(std::vector<common::metric_sample> &Samples) const;
+  void addPeerTraffic(std::vector<common::metric_sample> &Samples) const;
 
   event::event_loop &Loop;
   settings Settings;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -1,3 +1,5 @@
+#include <array>
+
 #include "Common/Log.h"
 #include "Gateway/Gateway.h"
 
@@ -82,6 +84,36 @@
   add(Samples, "magnolia_log_lines_left_out_total",
       "Log lines beyond their bound.",
       static_cast<double>(common::droppedLogLines()));
+  addPeerTraffic(Samples);
+}
+
+void gateway::addPeerTraffic(samples &Samples) const {
+  const peer_traffic &Traffic = Fleet->traffic();
+  constexpr std::array<std::string_view, fleet::AudienceCount> Receivers = {
+      "same_domain", "other_domains"};
+  for (size_t Index = 0; Index < Receivers.size(); ++Index) {
+    const std::string To(Receivers.at(Index));
+    const peer_traffic::sent &Sent = Traffic.Sent.at(Index);
+    Samples.push_back({"magnolia_peer_messages_sent_total",
+                       "Messages to other instances by failure domain.",
+                       {{"to", To}},
+                       static_cast<double>(Sent.Messages)});
+    Samples.push_back({"magnolia_peer_bytes_sent_total",
+                       "Bytes of messages to other instances.",
+                       {{"to", To}},
+                       static_cast<double>(Sent.Bytes)});
+  }
+  add(Samples, "magnolia_peer_introductions_sent_total",
+      "Messages that introduce this instance.",
+      static_cast<double>(Traffic.Introductions));
+  add(Samples, "magnolia_peer_messages_received_total",
+      "Messages from other instances.", static_cast<double>(Traffic.Received));
+  add(Samples, "magnolia_peer_bytes_received_total",
+      "Bytes of messages from other instances.",
+      static_cast<double>(Traffic.ReceivedBytes));
+  add(Samples, "magnolia_urgent_failures_delayed_total",
+      "Failures of targets that waited for the next update.",
+      static_cast<double>(Traffic.UrgentDelayed));
 }
 
 } // namespace magnolia::gateway
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -2,11 +2,13 @@
 
 #include <string>
 
+#include "Fleet/CollectorChoice.h"
 #include "Fleet/FleetBuckets.h"
 #include "Fleet/FleetBudgets.h"
 #include "Fleet/FleetMessage.h"
 #include "Fleet/PeerView.h"
 #include "Fleet/ReaderDecision.h"
+#include "Fleet/UrgentLimit.h"
 #include "Placement/LossFilter.h"
 #include "Placement/TargetSet.h"
 
@@ -70,6 +72,9 @@
 /// Status updates to peers.
 struct update_settings {
   duration Period = std::chrono::milliseconds(250);
+  /// The period for other failure domains, of instances that do not read the
+  /// store.
+  duration OtherDomainsPeriod = std::chrono::milliseconds(500);
   /// Maximum time between two updates.
   duration Heartbeat = std::chrono::milliseconds(400);
   /// Period at which an update carries all totals, because messages may be
@@ -109,6 +114,8 @@
   fleet::bucket_settings Rates;
   fleet::peer_settings Peers;
   fleet::reader_settings Readers;
+  fleet::collector_settings Collectors;
+  fleet::urgent_settings Urgent;
   placement::placement_settings Placement;
   placement::loss_settings Losses;
 };
--- a/Source/Gateway/StoreSharing.cpp
+++ b/Source/Gateway/StoreSharing.cpp
@@ -1,9 +1,13 @@
 #include "Gateway/StoreSharing.h"
 
+#include <algorithm>
+
 #include <absl/random/distributions.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include "Common/Log.h"
+#include "Common/StringView.h"
 #include "Net/Event/Address.h"
 
 namespace magnolia::gateway {
@@ -16,23 +20,52 @@
 
 constexpr std::string_view Component = "Store";
 constexpr std::chrono::milliseconds ReadingUpdatePeriod{100};
+/// The same period until all tables are loaded.
+constexpr std::chrono::milliseconds LoadingUpdatePeriod{20};
+/// Time after a start in which the instances of a fleet introduce themselves,
+/// before any of them decides whether to read.
+constexpr std::chrono::milliseconds IntroductionTime{60};
 constexpr std::chrono::milliseconds FetchTimeout{1000};
-/// A peer in another failure domain is asked only if none in the own one had
-/// the change by then: traffic between failure domains is expensive.
-constexpr std::chrono::milliseconds RemoteFetchDelay{60};
+/// Changes that a peer knows usually arrive by themselves within this time.
+constexpr std::chrono::milliseconds MissingAfter{40};
+/// An instance asks peers in other failure domains only if none in its own has
+/// the change, and this much later than the one before it in the order of its
+/// domain: traffic between failure domains is expensive.
+constexpr std::chrono::milliseconds RemoteFetchStep{60};
+constexpr std::chrono::milliseconds MaxRemoteFetchDelay{400};
+/// While a neighbor has the tables, an instance that starts waits this long for
+/// them before it reads the store.
+constexpr std::chrono::milliseconds NeighborPatience{300};
 constexpr std::chrono::milliseconds FetchSpread{60};
+/// A full table is served once in this time, so that many instances that start
+/// together also fetch from those that have just loaded it, instead of all
+/// sharing the bandwidth of the first one.
+constexpr std::chrono::milliseconds FullServePeriod{30};
 /// Larger changes do not fit a datagram; peers fetch them.
-constexpr size_t MaxRelayBytes = 1200;
+constexpr size_t MaxForwardBytes = 1200;
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
+constexpr int Unavailable = 503;
+/// Follows the path of a table; the version up to which the peer has the table.
+constexpr std::string_view AfterQuery = "?after=";
 
-constexpr std::array<std::string_view, static_cast<size_t>(table_id::Count)>
-    Paths = {"/configuration", "/targets"};
+constexpr std::array<std::string_view, fleet::TableCount> Paths = {
+    "/configuration", "/targets"};
 
 std::string_view pathOf(table_id Id) {
   return Paths.at(static_cast<size_t>(Id));
 }
 
+uint64_t versionAfter(std::string_view Target) {
+  uint64_t Version = 0;
+  const size_t Query = Target.find(AfterQuery);
+  if (Query != std::string_view::npos &&
+      !absl::SimpleAtoi(
+          common::toAbsl(Target.substr(Query + AfterQuery.size())), &Version))
+    return 0;
+  return Version;
+}
+
 size_t sizeOf(const stored_row &Row) {
   return Row.Key.size() + Row.Value.size() + sizeof(Row.Version);
 }
@@ -43,7 +76,8 @@
                              const fleet::peer_view &Peers,
                              store_table Configuration, store_table Targets,
                              hooks Given)
-    : Loop(Loop), Settings(Settings), Peers(Peers), Hooks(std::move(Given)) {
+    : Loop(Loop), Settings(Settings), Peers(Peers), Hooks(std::move(Given)),
+      Started(Loop.now()) {
   addTable(table_id::Configuration, std::move(Configuration),
            Hooks.Configuration);
   addTable(table_id::Targets, std::move(Targets), Hooks.Targets);
@@ -54,9 +88,8 @@
   replica &Replica = table(Id);
   Replica.Copy = std::make_unique<fleet::shared_table>(std::move(TableHooks));
   follower_hooks FollowerHooks;
-  FollowerHooks.OnChanges = [this, Id](uint64_t After,
-                                       const std::vector<stored_row> &Rows) {
-    relay(Id, After, Rows);
+  FollowerHooks.OnChanges = [this, Id](const std::vector<stored_row> &Rows) {
+    forward(Id, Rows);
   };
   FollowerHooks.OnSnapshot = [this] { Hooks.Announce(); };
   FollowerHooks.OnAvailability = [this, Id](bool Unavailable) {
@@ -74,9 +107,22 @@
 }
 
 void store_sharing::start() {
-  for (const replica &Replica : Tables)
-    Replica.Follower->enable();
-  Loop.callEvery(ReadingUpdatePeriod, [this] { updateReading(); });
+  UncoveredSince = Started;
+  scheduleReadingUpdate();
+}
+
+void store_sharing::scheduleReadingUpdate() {
+  Loop.callAfter(allLoaded() ? ReadingUpdatePeriod : LoadingUpdatePeriod,
+                 [this] {
+                   updateReading();
+                   scheduleReadingUpdate();
+                 });
+}
+
+bool store_sharing::allLoaded() const {
+  return std::all_of(Tables.begin(), Tables.end(), [](const replica &Replica) {
+    return Replica.Copy->hasContent();
+  });
 }
 
 reading_state store_sharing::reading() const {
@@ -96,11 +142,8 @@
   const boot_time Now = Loop.now();
   const fleet::reader_decision Decision =
       fleet::decideReader(Peers, Settings.Identity.Name, Settings.Readers, Now);
-  bool AllLoaded = true;
-  for (const replica &Replica : Tables) {
+  for (const replica &Replica : Tables)
     Replica.Follower->setBackup(!Decision.Preferred);
-    AllLoaded = AllLoaded && Replica.Copy->hasContent();
-  }
   const reading_state State = reading();
   if (State != AnnouncedState) {
     common::log(log_level::Info, Component, "store reading state changed",
@@ -111,7 +154,7 @@
     AnnouncedState = State;
     Hooks.Announce();
   }
-  if (Decision.Covered && AllLoaded) {
+  if (Decision.Covered && allLoaded()) {
     UncoveredSince.reset();
     for (const replica &Replica : Tables)
       Replica.Follower->disable();
@@ -119,45 +162,62 @@
   }
   if (!UncoveredSince)
     UncoveredSince = Now;
-  if (Now - *UncoveredSince < Decision.TakeOverDelay)
+  if (Now - *UncoveredSince < readingDelay(Decision))
     return;
   for (const replica &Replica : Tables)
     Replica.Follower->enable();
 }
 
+duration
+store_sharing::readingDelay(const fleet::reader_decision &Decision) const {
+  if (allLoaded())
+    return Decision.TakeOverDelay;
+  // The first of each domain read, so that the others can fetch the tables
+  // from a neighbor.
+  const bool NeighborHasAll =
+      !sourcesOf(table_id::Configuration).Near.empty() &&
+      !sourcesOf(table_id::Targets).Near.empty();
+  return IntroductionTime + decideInDomain().TakeOverDelay +
+         (NeighborHasAll ? NeighborPatience : duration::zero());
+}
+
+fleet::reader_decision store_sharing::decideInDomain() const {
+  return fleet::decideReader(Peers, Settings.Identity.Name, Settings.Readers,
+                             Loop.now(), Settings.Identity.FailureDomain);
+}
+
 bool store_sharing::storeSteady() const {
   return isSteady(reading()) || Peers.othersReadSteadily(Loop.now());
 }
 
 void store_sharing::fillTableStatus(fleet::update_message &Update) const {
   Update.Reading = reading();
-  Update.ConfigurationChange =
-      table(table_id::Configuration).Copy->lastChange();
-  Update.TargetsChange = table(table_id::Targets).Copy->lastChange();
+  for (size_t Index = 0; Index < Tables.size(); ++Index)
+    if (Tables.at(Index).Copy->hasContent())
+      Update.Tables.at(Index) = Tables.at(Index).Copy->status();
 }
 
-void store_sharing::relay(table_id Id, uint64_t After,
-                          const std::vector<stored_row> &Rows) {
+void store_sharing::forward(table_id Id, const std::vector<stored_row> &Rows) {
+  if (fleet::decideReader(Peers, Settings.Identity.Name, Settings.Readers,
+                          Loop.now())
+          .Covered)
+    return;
   fleet::rows_message Message;
   Message.Table = Id;
-  Message.After = After;
   size_t Size = 0;
   const auto Flush = [&] {
-    if (Message.Rows.empty())
-      return;
-    Hooks.Send(Message);
-    Message.After = Message.Rows.back().Version;
+    if (!Message.Rows.empty())
+      Hooks.Send(Message);
     Message.Rows.clear();
     Size = 0;
   };
   for (const stored_row &Row : Rows) {
-    if (sizeOf(Row) > MaxRelayBytes) {
-      // Peers see in the next update that they are behind, and fetch the
-      // change.
+    if (sizeOf(Row) > MaxForwardBytes) {
+      // Peers see in the next update that they are behind, and fetch it.
       Hooks.Announce();
-      return;
+      continue;
     }
-    if (Size + sizeOf(Row) > MaxRelayBytes)
+    if (Size + sizeOf(Row) > MaxForwardBytes)
       Flush();
     Message.Rows.push_back(Row);
     Size += sizeOf(Row);
@@ -165,44 +225,76 @@
   Flush();
 }
 
-void store_sharing::applyRelayed(const fleet::rows_message &Rows) {
-  // A gap also shows in the sender's next update and is fetched then.
-  table(Rows.Table).Copy->applyRelayed(Rows.After, Rows.Rows);
+void store_sharing::applyForwarded(const fleet::rows_message &Rows) {
+  table(Rows.Table).Copy->applyForwarded(Rows.Rows);
 }
 
-void store_sharing::onUpdate(const fleet::peer &Peer,
+void store_sharing::onUpdate(const fleet::peer & /*Peer*/,
                              const fleet::update_message &Update) {
-  scheduleFetch(table_id::Configuration, Peer, Update.ConfigurationChange);
-  scheduleFetch(table_id::Targets, Peer, Update.TargetsChange);
+  compare(table_id::Configuration,
+          Update.Tables.at(static_cast<size_t>(table_id::Configuration)));
+  compare(table_id::Targets,
+          Update.Tables.at(static_cast<size_t>(table_id::Targets)));
 }
 
-void store_sharing::scheduleFetch(table_id Id, const fleet::peer &Peer,
-                                  uint64_t Change) {
+void store_sharing::compare(table_id Id, const fleet::table_status &Status) {
   replica &Replica = table(Id);
-  const auto Behind = [&Replica, Change] {
-    return Replica.Copy->knownThrough() < Change;
-  };
-  if (!Behind() || Replica.Fetch || Replica.FetchScheduled)
+  if (Replica.Copy->includes(Status))
+    return;
+  if (!Replica.isBehind())
+    Replica.BehindSince = Loop.now();
+  if (Status.Version > Replica.Behind.Version)
+    Replica.Behind = Status;
+  scheduleFetch(Id);
+}
+
+void store_sharing::scheduleFetch(table_id Id) {
+  replica &Replica = table(Id);
+  if (Replica.Fetch || Replica.FetchScheduled)
     return;
-  const bool InOwnDomain =
-      Peer.Identity.FailureDomain == Settings.Identity.FailureDomain;
-  // Relayed changes usually arrive within milliseconds, so that the fetch is
-  // not needed.
   const auto Spread = std::chrono::milliseconds(
       absl::Uniform<int64_t>(Random, 1, FetchSpread.count()));
-  const duration Delay =
-      InOwnDomain ? duration(Spread) : RemoteFetchDelay + Spread * 2;
   Replica.FetchScheduled = true;
-  Loop.callAfter(Delay,
-                 [this, Id, Behind, Address = Peer.Identity.PeerAddress] {
+  Loop.callAfter(Replica.Copy->hasContent() ? MissingAfter + Spread : Spread,
+                 [this, Id] {
                    table(Id).FetchScheduled = false;
-                   if (Behind() && !table(Id).Fetch)
-                     fetch(Id, Address);
+                   fetchIfBehind(Id);
                  });
 }
 
-void store_sharing::fetch(table_id Id, const std::string &PeerAddress) {
-  const auto Address = event::parseAddress(PeerAddress);
+void store_sharing::fetchIfBehind(table_id Id) {
+  const replica &Replica = table(Id);
+  // What was missing may have arrived by itself.
+  if (Replica.Fetch || Replica.Copy->includes(Replica.Behind))
+    return;
+  const sources Sources = sourcesOf(Id);
+  const duration RemoteDelay = std::min<duration>(
+      RemoteFetchStep * decideInDomain().ReachableBefore, MaxRemoteFetchDelay);
+  const bool MayAskFar = Loop.now() - Replica.BehindSince >= RemoteDelay;
+  const auto &Candidates =
+      Sources.Near.empty() && MayAskFar ? Sources.Far : Sources.Near;
+  if (Candidates.empty()) {
+    scheduleFetch(Id);
+    return;
+  }
+  fetch(Id, *Candidates[absl::Uniform<size_t>(Random, 0, Candidates.size())]);
+}
+
+store_sharing::sources store_sharing::sourcesOf(table_id Id) const {
+  sources Sources;
+  const boot_time Now = Loop.now();
+  const uint64_t Version = table(Id).Copy->status().Version;
+  for (const auto &[Name, Peer] : Peers.peers()) {
+    const fleet::table_status &Status = Peer.Tables.at(static_cast<size_t>(Id));
+    if (Status.Version <= Version || !Peers.isReachable(Peer, Now))
+      continue;
+    (isNear(Peer) ? Sources.Near : Sources.Far).push_back(&Peer);
+  }
+  return Sources;
+}
+
+void store_sharing::fetch(table_id Id, const fleet::peer &Peer) {
+  const auto Address = event::parseAddress(Peer.Identity.PeerAddress);
   if (!Address.ok())
     return;
   const auto Connection = message::client_connection::connect(
@@ -212,21 +304,21 @@
   replica &Replica = table(Id);
   Replica.Fetch = Connection;
   message::client_hooks FetchHooks;
-  FetchHooks.OnConnected = [Id, Raw = Connection.get()] {
+  const std::string Target =
+      absl::StrCat(common::toAbsl(pathOf(Id)), common::toAbsl(AfterQuery),
+                   Replica.Copy->status().Version);
+  FetchHooks.OnConnected = [Target, Raw = Connection.get()] {
     message::request Request;
     Request.Method = "GET";
-    Request.Target = pathOf(Id);
+    Request.Target = Target;
     Request.Headers.add("Host", "peer");
     Raw->send(message::serialize(Request), false);
   };
-  FetchHooks.OnResponse = [this, Id](const message::response &Response) {
-    const auto Snapshot = fleet::decodeSnapshot(Response.Body);
-    if (Response.Status == Ok && Snapshot.ok()) {
-      table(Id).Copy->applySnapshot(Snapshot->Rows, Snapshot->Version);
-      Hooks.Announce();
-    }
-    endFetch(Id);
-  };
+  FetchHooks.OnResponse =
+      [this, Id, FromFar = !isNear(Peer)](const message::response &Response) {
+        onContent(Id, Response, FromFar);
+        endFetch(Id);
+      };
   FetchHooks.OnConnectFailed = [this, Id] { endFetch(Id); };
   FetchHooks.OnFailure = [this, Id](message::exchange_failure) {
     endFetch(Id);
@@ -247,15 +339,43 @@
   Replica.Fetch = nullptr;
 }
 
-void store_sharing::serveTable(message::server_call &Call) const {
+void store_sharing::onContent(table_id Id, const message::response &Response,
+                              bool FromFar) {
+  if (Response.Status != Ok)
+    return;
+  const auto Content = fleet::decodeContent(Response.Body);
+  if (!Content.ok()) {
+    common::log(log_level::Warning, Component, "invalid table of a peer",
+                {{"table", std::string(pathOf(Id))},
+                 {"detail", std::string(Content.status().message())}});
+    return;
+  }
+  replica &Replica = table(Id);
+  const bool First = !Replica.Copy->hasContent();
+  Replica.Copy->applyContent(*Content);
+  // Neighbors can now fetch it from here.
+  if (First || FromFar)
+    Hooks.AnnounceInDomain();
+}
+
+void store_sharing::serveTable(message::server_call &Call) {
   message::response Response;
   Response.Status = NotFound;
   for (size_t Index = 0; Index < Tables.size(); ++Index) {
-    const fleet::shared_table &Copy = *Tables.at(Index).Copy;
-    if (Call.Request.path() != Paths.at(Index) || !Copy.hasContent())
+    replica &Replica = Tables.at(Index);
+    if (Call.Request.path() != Paths.at(Index) || !Replica.Copy->hasContent())
       continue;
+    const fleet::table_content Content =
+        Replica.Copy->contentAfter(versionAfter(Call.Request.Target));
+    const boot_time Now = Loop.now();
+    if (!Content.ChangesOnly && Now - Replica.FullServedAt < FullServePeriod) {
+      Response.Status = Unavailable;
+      continue;
+    }
+    if (!Content.ChangesOnly)
+      Replica.FullServedAt = Now;
     Response.Status = Ok;
-    Response.Body = fleet::encodeSnapshot(Copy.rows(), Copy.knownThrough());
+    Response.Body = fleet::encodeContent(Content);
   }
   Call.respond(std::move(Response));
 }
--- a/Source/Gateway/StoreSharing.h
+++ b/Source/Gateway/StoreSharing.h
@@ -17,17 +17,22 @@
 namespace magnolia::gateway {
 
 /// An instance's replicas of the store's tables. A few instances read the store
-/// and relay changes to the others; these fetch what they missed from any peer
-/// that has it, and read the store themselves when too few others do.
+/// and forward changes to the others; these fetch what they missed from a peer
+/// that has it, in their own failure domain if there is one, and read the store
+/// themselves when too few others do. After a start the first instances of each
+/// domain read it, in an order that all compute alike, and the others fetch
+/// from them.
 class store_sharing {
 public:
   struct hooks {
     fleet::table_hooks Configuration;
     fleet::table_hooks Targets;
-    /// Sends changed rows to all peers.
+    /// Forwards changed rows to all peers.
     std::function<void(const fleet::rows_message &Rows)> Send;
     /// Sends a status update to all peers within milliseconds.
     std::function<void()> Announce;
+    /// The same to those of the own failure domain.
+    std::function<void()> AnnounceInDomain;
   };
 
   store_sharing(event::event_loop &Loop, const settings &Settings,
@@ -37,14 +42,14 @@
   /// Starts reading, and the periodic decision whether to read.
   void start();
 
-  /// Applies changes that a peer relayed.
-  void applyRelayed(const fleet::rows_message &Rows);
+  /// Applies changes that a peer forwarded.
+  void applyForwarded(const fleet::rows_message &Rows);
 
-  /// Schedules a fetch if the update of a peer shows newer changes.
+  /// Schedules a fetch if the update of a peer shows that changes are missing.
   void onUpdate(const fleet::peer &Peer, const fleet::update_message &Update);
 
-  /// Serves a snapshot of a table to a peer.
-  void serveTable(message::server_call &Call) const;
+  /// Serves a table to a peer, or the changes that it lacks.
+  void serveTable(message::server_call &Call);
 
   /// Fills in the status of the tables and of reading the store.
   void fillTableStatus(fleet::update_message &Update) const;
@@ -69,17 +74,43 @@
     event::event_loop::timer_id FetchTimer = 0;
     /// A fetch is scheduled.
     bool FetchScheduled = false;
+    /// The latest content of a peer that the replica may lack, and since when.
+    fleet::table_status Behind;
+    boot_time BehindSince;
+    /// When a peer was last served the full table.
+    boot_time FullServedAt;
+
+    bool isBehind() const { return Copy->status().Version < Behind.Version; }
+  };
+
+  /// Reachable peers that may have changes that the replica lacks.
+  struct sources {
+    /// In the own failure domain.
+    std::vector<const fleet::peer *> Near;
+    std::vector<const fleet::peer *> Far;
   };
 
   void addTable(fleet::table_id Id, store_table Table,
                 fleet::table_hooks TableHooks);
   void updateReading();
-  void relay(fleet::table_id Id, uint64_t After,
-             const std::vector<stored_row> &Rows);
-  void scheduleFetch(fleet::table_id Id, const fleet::peer &Peer,
-                     uint64_t Change);
-  void fetch(fleet::table_id Id, const std::string &PeerAddress);
+  void scheduleReadingUpdate();
+  bool allLoaded() const;
+  /// How long to wait before reading while too few others read.
+  duration readingDelay(const fleet::reader_decision &Decision) const;
+  void forward(fleet::table_id Id, const std::vector<stored_row> &Rows);
+  void compare(fleet::table_id Id, const fleet::table_status &Status);
+  void scheduleFetch(fleet::table_id Id);
+  void fetchIfBehind(fleet::table_id Id);
+  sources sourcesOf(fleet::table_id Id) const;
+  void fetch(fleet::table_id Id, const fleet::peer &Peer);
   void endFetch(fleet::table_id Id);
+  void onContent(fleet::table_id Id, const message::response &Response,
+                 bool FromFar);
+  bool isNear(const fleet::peer &Peer) const {
+    return Peer.Identity.FailureDomain == Settings.Identity.FailureDomain;
+  }
+  /// The decision among the instances of the own failure domain alone.
+  fleet::reader_decision decideInDomain() const;
   fleet::reading_state reading() const;
   replica &table(fleet::table_id Id) {
     return Tables.at(static_cast<size_t>(Id));
@@ -92,7 +123,8 @@
   const settings &Settings;
   const fleet::peer_view &Peers;
   const hooks Hooks;
-  std::array<replica, static_cast<size_t>(fleet::table_id::Count)> Tables;
+  const boot_time Started;
+  std::array<replica, fleet::TableCount> Tables;
   absl::InsecureBitGen Random;
   /// Time since which too few others read the store.
   std::optional<boot_time> UncoveredSince;
--- a/Source/Gateway/TableFollower.cpp
+++ b/Source/Gateway/TableFollower.cpp
@@ -71,7 +71,7 @@
 
 void table_follower::follow() {
   const duration Wait = Confirmed ? Settings.Wait : FirstFollowWait;
-  Table.Follow(Copy.knownThrough(), Wait, [this](const store_reply &Reply) {
+  Table.Follow(Copy.status().Version, Wait, [this](const store_reply &Reply) {
     if (Reply.Result == store_result::Done)
       onChanges(Reply);
     else
@@ -81,11 +81,10 @@
 
 void table_follower::onChanges(const store_reply &Reply) {
   onSuccess();
-  const uint64_t Before = Copy.lastChange();
   const std::vector<stored_row> NewRows =
       Copy.applyChanges(Reply.Rows, Reply.Version);
   if (!NewRows.empty())
-    Hooks.OnChanges(Before, NewRows);
+    Hooks.OnChanges(NewRows);
   // Changes in quick succession are read together.
   if (Reply.Rows.empty() || Settings.BatchDelay == duration::zero())
     next();
--- a/Source/Gateway/TableFollower.h
+++ b/Source/Gateway/TableFollower.h
@@ -14,10 +14,8 @@
 
 /// Notifications of a follower.
 struct follower_hooks {
-  /// The store returned changes that are new to this instance; \p After is the
-  /// version of the change before them.
-  std::function<void(uint64_t After, const std::vector<stored_row> &Rows)>
-      OnChanges;
+  /// The store returned changes that are new to this instance.
+  std::function<void(const std::vector<stored_row> &Rows)> OnChanges;
   /// A complete snapshot was read from the store.
   std::function<void()> OnSnapshot;
   /// The store became unavailable or available.
--- a/Source/UnitTests/Fleet/FleetMessageTest.cpp
+++ b/Source/UnitTests/Fleet/FleetMessageTest.cpp
@@ -24,8 +24,7 @@
     update_message Update;
     Update.Boot = 4711;
     Update.State = instance_state::Ready;
-    Update.ConfigurationChange = 12;
-    Update.TargetsChange = 400;
+    Update.Tables = {{{12, 3000000000U}, {400, 7}}};
     Update.Reading = reading_state::Failing;
     Update.Workspaces = {{1, 20}, {4000000000U, 3}};
     Update.Services = {{7, 100, 9, 2}};
@@ -37,8 +36,7 @@
     const auto &Same = std::get<update_message>(*Read);
     CHECK(Same.State == instance_state::Ready);
     CHECK(Same.Reading == reading_state::Failing);
-    CHECK(Same.ConfigurationChange == 12);
-    CHECK(Same.TargetsChange == 400);
+    CHECK(Same.Tables == Update.Tables);
     REQUIRE(Same.Workspaces.size() == 2);
     CHECK(Same.Workspaces[1].Key == 4000000000U);
     CHECK(Same.Services.at(0).ExtraAttempts == 9);
@@ -50,15 +48,50 @@
     CHECK(Same.Events[1].AgeMs == 60);
     CHECK(encode(Update).size() < 100);
   }
-  SUBCASE("are forwarded unchanged") {
+  SUBCASE("say nothing of the tables in few bytes") {
+    update_message Update;
+    const size_t Short = encode(Update).size();
+    const auto Read = decode(encode(Update));
+    REQUIRE(Read.ok());
+    CHECK(std::get<update_message>(*Read).Tables == Update.Tables);
+    Update.Tables = {{{100000, 3000000000U}, {100000, 3000000000U}}};
+    CHECK(encode(Update).size() >= Short + 20);
+  }
+  SUBCASE("carry urgent evidence alone") {
+    const auto Read = decode(
+        encode(events_message{4711, 1000, {{99, evidence::Broken, 17}}}));
+    REQUIRE(Read.ok());
+    const auto &Same = std::get<events_message>(*Read);
+    CHECK(Same.Boot == 4711);
+    CHECK(Same.First == 1000);
+    REQUIRE(Same.Events.size() == 1);
+    CHECK(Same.Events[0].Evidence == evidence::Broken);
+  }
+  SUBCASE("are bundled unchanged") {
     const std::string Bytes = encode(update_message());
-    const auto Read =
-        decode(encode(relayed_message{"10.0.0.1:7", true, Bytes}));
+    const auto Read = decode(
+        encode(bundle_message{bundle_route::ForwardInDomain,
+                              {{"10.0.0.1:7", Bytes}, {"10.0.0.2:7", "x"}}}));
+    REQUIRE(Read.ok());
+    const auto &Same = std::get<bundle_message>(*Read);
+    CHECK(Same.Route == bundle_route::ForwardInDomain);
+    REQUIRE(Same.Messages.size() == 2);
+    CHECK(Same.Messages[0].Origin == "10.0.0.1:7");
+    CHECK(Same.Messages[0].Bytes == Bytes);
+    CHECK(Same.Messages[1].Bytes == "x");
+  }
+  SUBCASE("carry rows and what peers fetch") {
+    const std::vector<stored_row> Rows = {{"a", "v", 5, false},
+                                          {"b", "", 6, true}};
+    const auto Read = decode(encode(rows_message{table_id::Targets, Rows}));
     REQUIRE(Read.ok());
-    const auto &Same = std::get<relayed_message>(*Read);
-    CHECK(Same.Origin == "10.0.0.1:7");
-    CHECK(Same.Forward);
-    CHECK(Same.Bytes == Bytes);
+    CHECK(std::get<rows_message>(*Read).Rows == Rows);
+    const auto Content = decodeContent(encodeContent({9, true, Rows}));
+    REQUIRE(Content.ok());
+    CHECK(Content->Version == 9);
+    CHECK(Content->ChangesOnly);
+    CHECK(Content->Rows == Rows);
+    CHECK_FALSE(decodeContent("no table").ok());
   }
   SUBCASE("are rejected if malformed") {
     CHECK_FALSE(decode("").ok());
--- a/Source/UnitTests/Fleet/PeerViewTest.cpp
+++ b/Source/UnitTests/Fleet/PeerViewTest.cpp
@@ -119,11 +119,32 @@
     REQUIRE(Events.size() == 2);
     CHECK(Events[1].Target == 8);
   }
+  SUBCASE("applies an event that arrived before its update once") {
+    View.apply(Hello, Now);
+    const events_message Urgent{2, 0, {{9, evidence::Broken, 3}}};
+    CHECK(View.apply(Urgent));
+    Update.Events = {{9, evidence::Broken, 200}, {8, evidence::Accepted, 60}};
+    View.apply(Update, Now);
+    CHECK(View.apply(Urgent));
+    CHECK(Events.size() == 2);
+
+    SUBCASE("and a state that was sent before it") {
+      Update.Number = 1;
+      Update.State = instance_state::Draining;
+      View.apply(Update, Now);
+      CHECK(View.peers().at("other").State == instance_state::Draining);
+    }
+  }
+  SUBCASE("does not take urgent evidence of an unknown sender") {
+    CHECK_FALSE(View.apply(events_message{2, 0, {{9, evidence::Broken, 3}}}));
+    CHECK(Events.empty());
+  }
   SUBCASE("keeps the newer state when an older message arrives later") {
     View.apply(Hello, Now);
     update_message Later = Update;
+    Update.Number = 1;
+    Later.Number = 2;
     Later.State = instance_state::Draining;
-    Later.Events = {{9, evidence::Accepted, 60}};
     Later.Workspaces = {{5, 3}};
     Update.Workspaces = {{5, 2}};
     View.apply(Later, Now);
--- a/Source/UnitTests/Fleet/ReaderDecisionTest.cpp
+++ b/Source/UnitTests/Fleet/ReaderDecisionTest.cpp
@@ -34,6 +34,7 @@
     hello_message Hello;
     Hello.Boot = bootOf(From);
     Hello.Identity.Name = nameOf(From);
+    Hello.Identity.FailureDomain = domainOf(From);
     View.apply(Hello, Now);
     update_message Update;
     Update.Boot = bootOf(From);
@@ -46,6 +47,15 @@
     return decideReader(View, nameOf(Own), {}, Now);
   }
 
+  /// The decision among the instances of its own failure domain.
+  reader_decision decideInDomain(boot_time Now) const {
+    return decideReader(View, nameOf(Own), {}, Now, domainOf(Own));
+  }
+
+  static std::string domainOf(int Number) {
+    return Number % 2 == 0 ? "trnava" : "nitra";
+  }
+
   static std::string nameOf(int Number) {
     return "edge-" + std::to_string(Number);
   }
@@ -113,6 +123,17 @@
       CHECK(Delays[2] + milliseconds(30) <= Delays[3]);
     }
   }
+  SUBCASE("the first of each failure domain after a start") {
+    std::vector<std::string> First;
+    for (int Own = 0; Own < Count; ++Own) {
+      const auto Decision = Fleet[static_cast<size_t>(Own)].decideInDomain(Now);
+      CHECK(Decision.ReachableBefore < Count / 2);
+      if (Decision.ReachableBefore == 0)
+        First.push_back(member_view::domainOf(Own));
+    }
+    std::sort(First.begin(), First.end());
+    CHECK(First == std::vector<std::string>{"nitra", "trnava"});
+  }
   SUBCASE("another when a reader becomes unreachable") {
     const boot_time Later = Now + milliseconds(900);
     const int Silent = Readers[0];
