Gray targets that accept requests and never respond

A request that was not refused within 60 ms counted as good evidence, so each request to a gray target first cleared it; the missing response counted only after the whole latency objective, and a 504 at the told deadline not at all.

Change: the fleet's requests show how gray targets fail (failure_mode). Where they hang, acceptance is no evidence, a request stalls at 0.6 of its objective, the weight of a stall follows from how often responses are that late, a late response takes it back, and a stall that makes a target a suspect is urgent news. Repeatable requests alone probe where a service has enough of them, and they probe targets soon while a twentieth fails. A probe of a target that may hang is sent by fewer instances at once.

--- a/Source/Core/Placement/GrayEstimator.h
+++ b/Source/Core/Placement/GrayEstimator.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "Placement/EpisodeLength.h"
+#include "Placement/FailureMode.h"
 #include "Placement/TargetEntry.h"
 
 namespace magnolia::placement {
@@ -14,7 +15,7 @@
   Succeeded,
   /// The target accepted the request and did not reset it at once. Targets that
   /// reset requests do so within milliseconds, so this is known long before a
-  /// response.
+  /// response. Where gray targets accept requests it shows nothing.
   Accepted,
   /// The connection was reset or ended before a complete response, or the bytes
   /// received were not a valid response.
@@ -27,6 +28,10 @@
   Stalled,
   /// No connection was established.
   Unreachable,
+  /// No response by the deadline of a request that had stalled.
+  TimedOut,
+  /// A complete response without an error to a request that had stalled.
+  SucceededLate,
   Count
 };
 
@@ -41,6 +46,12 @@
   duration DecayTime = std::chrono::milliseconds(9000);
 };
 
+/// What all gray targets have in common, learned from the evidence about each.
+struct gray_pattern {
+  episode_length Length;
+  failure_mode Mode;
+};
+
 /// Estimates the probability that a target is gray: it fails a large part of
 /// its requests, whatever its health check says. A two-state Bayes filter:
 /// evidence updates the probability by Bayes' rule and without evidence it
@@ -52,12 +63,12 @@
 /// thread-safe.
 class gray_estimator {
 public:
-  /// \p Length: the estimate of episode lengths, which is also updated with the
+  /// \p Pattern: what is known of all targets, which is also updated with the
   /// evidence; null to decay to the prior by time alone. Must outlive this
   /// object.
   explicit gray_estimator(const gray_estimator_settings &Settings,
-                          episode_length *Length = nullptr)
-      : Settings(Settings), Length(Length), Probability(Settings.Prior) {}
+                          gray_pattern *Pattern = nullptr)
+      : Settings(Settings), Pattern(Pattern), Probability(Settings.Prior) {}
 
   /// The probability at \p Now.
   double probabilityAt(boot_time Now) const;
@@ -66,8 +77,8 @@
   /// evidence of a request that was sent before the last failure is ignored.
   void observe(evidence Evidence, boot_time SentAt, boot_time Now);
 
-  /// When the last negative evidence other than a refusal was observed; zero if
-  /// none was.
+  /// When the last negative evidence other than a refusal or a missed deadline
+  /// was observed; zero if none was.
   boot_time lastFailure() const { return LastFailure; }
   /// When the latest request with positive evidence was sent; zero if none was.
   boot_time lastPositive() const { return LastPositive; }
@@ -81,11 +92,15 @@
     bool BeginningKnown = false;
   };
 
+  bool targetsHang() const { return Pattern && Pattern->Mode.targetsHang(); }
+  /// Whether a request failed in the way of gray targets.
+  bool isTypicalFailure(evidence Evidence, duration Elapsed) const;
+  bool isIgnored(evidence Evidence, boot_time SentAt) const;
   double survivalAt(boot_time Now) const;
   void updateEpisode(evidence Evidence, boot_time SentAt, boot_time Now);
 
   gray_estimator_settings Settings;
-  episode_length *Length;
+  gray_pattern *Pattern;
   double Probability;
   std::optional<episode> Episode;
   boot_time Updated;
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -22,6 +22,10 @@
 /// Average rate of probes to a target that is due for one: about one in twelve
 /// gets none within a second.
 constexpr double ProbesPerSecond = 2.5;
+/// Fraction of the probes that are sent to targets from this gray probability
+/// on, where gray targets hang.
+constexpr double RiskyProbeProbability = 0.1;
+constexpr double SlowProbeFraction = 0.4;
 /// Maximum fraction of a service's requests that are probes.
 constexpr double MaxProbeFraction = 0.75;
 /// Cost of a failed repeatable request as a fraction of its value: it can be
@@ -46,7 +50,7 @@
   }
   if (Existing)
     remove(Entry.Id);
-  const auto Added = std::make_shared<target>(Entry, Settings, *Length);
+  const auto Added = std::make_shared<target>(Entry, Settings, *Pattern);
   Added->Key = keyOf(Entry);
   Added->AddedAt = Now;
   ById[Entry.Id] = Added;
@@ -127,12 +131,15 @@
              Query.Tried.end();
 }
 
-duration target_set::pauseAfterFailure(double FailedFraction,
+duration target_set::pauseAfterFailure(const placement_query &Query,
                                        size_t Excluded) const {
-  if (FailedFraction >= Settings.UrgentProbeFailedFraction &&
+  if (Query.Repeatable &&
+      Query.FailedFraction >= Settings.RepeatableProbeFailedFraction)
+    return Settings.RepeatableProbeDelay;
+  if (Query.FailedFraction >= Settings.UrgentProbeFailedFraction &&
       Excluded > Settings.UrgentProbeExcluded)
     return Settings.UrgentProbeDelay;
-  if (FailedFraction >= Settings.EarlyProbeFailedFraction)
+  if (Query.FailedFraction >= Settings.EarlyProbeFailedFraction)
     return Settings.EarlyProbeDelay;
   return duration::max();
 }
@@ -148,8 +155,7 @@
         Target->Fleet.probabilityAt(Now) >= Settings.MaxProbeRisk;
     (IsExcluded ? Excluded : Due).push_back(Target);
   }
-  const duration Pause =
-      pauseAfterFailure(Query.FailedFraction, Excluded.size());
+  const duration Pause = pauseAfterFailure(Query, Excluded.size());
   for (const target_ref &Target : Excluded)
     if (Now - Target->Fleet.lastFailure() > Pause)
       Due.push_back(Target);
@@ -180,7 +186,7 @@
 
 target_ref target_set::chooseProbed(const placement_query &Query, boot_time Now,
                                     absl::BitGenRef Random) const {
-  if (Query.Rate <= 0)
+  if (!Query.MayProbe || Query.ProbingRate <= 0)
     return nullptr;
   const std::vector<target_ref> Due = dueForProbe(Query, Now);
   if (Due.empty())
@@ -188,14 +194,21 @@
   // The instances do not coordinate their probes; each probes at random with a
   // probability that gives nearly every due target a probe within a second.
   const double ProbeProbability =
-      std::min(MaxProbeFraction, wantedProbeRate(Due) / Query.Rate);
+      std::min(MaxProbeFraction, wantedProbeRate(Due) / Query.ProbingRate);
   if (absl::Uniform(Random, 0.0, 1.0) > ProbeProbability)
     return nullptr;
   // Of two random targets, probe the one that has been without a request for
   // longer: it is the next one that would stay unused for too long.
   const target_ref &One = Due[absl::Uniform<size_t>(Random, 0, Due.size())];
   const target_ref &Other = Due[absl::Uniform<size_t>(Random, 0, Due.size())];
-  return One->LastUsed < Other->LastUsed ? One : Other;
+  const target_ref &Chosen = One->LastUsed < Other->LastUsed ? One : Other;
+  // Until a probe of a hanging target shows what it is, other instances would
+  // send theirs too.
+  const bool Slow = targetsHang() &&
+                    Chosen->Fleet.probabilityAt(Now) >= RiskyProbeProbability;
+  if (Slow && absl::Uniform(Random, 0.0, 1.0) > SlowProbeFraction)
+    return nullptr;
+  return Chosen;
 }
 
 target_ref target_set::choose(const placement_query &Query, boot_time Now,
@@ -240,7 +253,7 @@
   if (Evidence != evidence::Unreachable)
     Target.Fleet.observe(Evidence, SentAt, Now);
   if (Evidence == evidence::Unreachable || Evidence == evidence::Stalled ||
-      Evidence == evidence::Succeeded)
+      Evidence == evidence::Succeeded || Evidence == evidence::SucceededLate)
     Target.Path.observe(Evidence, SentAt, Now);
 }
 
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -50,6 +50,10 @@
   /// excluded for at most this time.
   double EarlyProbeFailedFraction = 0.07;
   duration EarlyProbeDelay = std::chrono::milliseconds(6000);
+  /// The same for repeatable requests, which are sent again if the probe shows
+  /// that the target is still gray.
+  double RepeatableProbeFailedFraction = 0.05;
+  duration RepeatableProbeDelay = std::chrono::milliseconds(1500);
   /// The same while more than this number of targets is excluded and at least
   /// this fraction of the requests fails.
   size_t UrgentProbeExcluded = 12;
@@ -66,8 +70,8 @@
 class target {
 public:
   target(target_entry Entry, const placement_settings &Settings,
-         episode_length &Length)
-      : Entry(std::move(Entry)), Fleet(Settings.FleetEstimator, &Length),
+         gray_pattern &Pattern)
+      : Entry(std::move(Entry)), Fleet(Settings.FleetEstimator, &Pattern),
         Path(Settings.PathEstimator) {}
 
   target_entry Entry;
@@ -99,10 +103,12 @@
   bool Repeatable = false;
   /// Targets that have already been sent this request.
   absl::Span<const target_key> Tried;
-  /// Requests per second of the service over the fleet, and the fraction of
-  /// them that fails.
-  double Rate = 0;
+  /// Requests per second of the service over the fleet that may probe targets,
+  /// and the fraction of all that fails.
+  double ProbingRate = 0;
   double FailedFraction = 0;
+  /// Whether this request may probe a target.
+  bool MayProbe = true;
 };
 
 /// All known targets with their health estimates, and the choice among them.
@@ -156,6 +162,9 @@
       Visit(*Target);
   }
 
+  /// Whether gray targets mostly accept requests and never respond.
+  bool targetsHang() const { return Pattern->Mode.targetsHang(); }
+
   size_t size() const { return ById.size(); }
   size_t sizeOf(std::string_view Service) const;
   target_ref find(std::string_view Id) const;
@@ -176,7 +185,8 @@
   /// How long a target that is probably gray is excluded after its last
   /// failure; without limit while few requests fail, since the estimate decays
   /// to the prior.
-  duration pauseAfterFailure(double FailedFraction, size_t Excluded) const;
+  duration pauseAfterFailure(const placement_query &Query,
+                             size_t Excluded) const;
   std::vector<target_ref> dueForProbe(const placement_query &Query,
                                       boot_time Now) const;
   bool isProbeDue(const target &Target, boot_time Now) const;
@@ -192,8 +202,8 @@
   const placement_settings Settings;
   const std::string FailureDomain;
   /// Each target of this set points to it.
-  const std::unique_ptr<episode_length> Length =
-      std::make_unique<episode_length>();
+  const std::unique_ptr<gray_pattern> Pattern =
+      std::make_unique<gray_pattern>();
   absl::flat_hash_map<std::string, target_ref> ById;
   absl::flat_hash_map<target_key, target_ref> ByKey;
   absl::flat_hash_map<std::string, std::vector<target_ref>> ByService;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -80,6 +80,7 @@
   if (Chosen == nullptr)
     return;
   Service = *Chosen;
+  Gateway.RequestMix.count(Service, repeatable(), Gateway.Loop.now());
   Gateway.Fleet->budgets().countRequest(fleet::usageKey(Service),
                                         Gateway.Loop.now());
 }
@@ -152,8 +153,15 @@
   Query.Repeatable = repeatable();
   const fleet::service_stats Stats = Gateway.Fleet->budgets().statsOf(
       fleet::usageKey(Service), Gateway.Loop.now());
-  Query.Rate = Stats.Rate;
   Query.FailedFraction = Stats.FailedFraction;
+  // A request that is not repeatable is lost if it probes a gray target, so
+  // that the repeatable ones of the service do, if there are enough.
+  const double RepeatableRate =
+      Stats.Rate * Gateway.RequestMix.repeatableFraction(Service);
+  const bool RepeatablesProbe =
+      RepeatableRate >= Gateway.Settings.Forward.MinProbingRate;
+  Query.ProbingRate = RepeatablesProbe ? RepeatableRate : Stats.Rate;
+  Query.MayProbe = repeatable() || !RepeatablesProbe;
   std::vector<placement::target_key> Avoid = Unreachable;
   placement::target_ref Chosen;
   if (mayUseAnotherTarget()) {
@@ -345,13 +353,20 @@
   AddTimer(Forward.AcceptedAfter,
            [Self, Attempt] { Self->observe(*Attempt, evidence::Accepted); });
   if (!Attempt->Queued)
-    AddTimer(PartOfObjective(Forward.StalledAtFraction),
-             [Self, Attempt] { Self->observe(*Attempt, evidence::Stalled); });
+    AddTimer(PartOfObjective(Gateway.TargetSet.targetsHang()
+                                 ? Forward.StalledAtFractionIfHanging
+                                 : Forward.StalledAtFraction),
+             [Self, Attempt] { Self->onStalled(Attempt); });
   if (repeatable() && !Hedged)
     AddTimer(PartOfObjective(Forward.HedgeAtFraction),
              [Self] { Self->maybeHedge(); });
 }
 
+void exchange::onStalled(const attempt_ref &Attempt) {
+  Attempt->Stalled = true;
+  observe(*Attempt, evidence::Stalled);
+}
+
 void exchange::maybeHedge() {
   if (Hedged || !mayUseAnotherTarget())
     return;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -34,6 +34,8 @@
     /// The target is over its capacity, so the request queues there and a slow
     /// response is no sign of failure.
     bool Queued = false;
+    /// It counts as stalled.
+    bool Stalled = false;
     std::vector<timer_id> Timers;
   };
   using attempt_ref = std::shared_ptr<attempt>;
@@ -65,6 +67,7 @@
   std::string requestBytes(const attempt &Attempt) const;
   message::client_hooks hooksOf(const attempt_ref &Attempt);
   void startTimers(const attempt_ref &Attempt);
+  void onStalled(const attempt_ref &Attempt);
   void maybeHedge();
 
   // Responses of targets.
@@ -74,8 +77,8 @@
   /// Delay before a target that refused the request is tried again.
   duration refusalBackoff() const;
   /// Whether the response is a 504 for the deadline that was sent to the
-  /// target. It is no evidence against the target: routes may have short
-  /// timeouts.
+  /// target. It is no evidence against the target by itself: routes may have
+  /// short timeouts.
   bool gaveUpAtDeadline(const message::response &Response) const;
   void onTargetError(message::response Response);
   void retryOrFail(common::error_kind Kind, std::string_view Detail);
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -91,11 +91,14 @@
   if (Response.Status >= FirstServerError) {
     if (!gaveUpAtDeadline(Response))
       observe(*Attempt, evidence::Failed);
+    else if (Attempt->Stalled)
+      observe(*Attempt, evidence::TimedOut);
     endAttempt(Attempt, true);
     onTargetError(std::move(Response));
     return;
   }
-  observe(*Attempt, evidence::Succeeded);
+  observe(*Attempt,
+          Attempt->Stalled ? evidence::SucceededLate : evidence::Succeeded);
   endAttempt(Attempt, true);
   forwardResponse(std::move(Response));
 }
@@ -221,6 +224,9 @@
 void exchange::onDeadline() {
   if (Done)
     return;
+  for (const attempt_ref &Attempt : Attempts)
+    if (!Attempt->Ended && Attempt->Stalled)
+      observe(*Attempt, evidence::TimedOut);
   if (TargetError) {
     forwardResponse(std::move(*TargetError));
     return;
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -43,7 +43,8 @@
 }
 
 bool isFailure(evidence Evidence) {
-  return Evidence == evidence::Broken || Evidence == evidence::Failed;
+  return Evidence == evidence::Broken || Evidence == evidence::Failed ||
+         Evidence == evidence::Stalled;
 }
 
 } // namespace
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -21,8 +21,11 @@
 /// lists all instances.
 constexpr size_t MinNearbyInstances = 2;
 constexpr size_t MaxDirectoryEntries = 64;
-/// A failure of a target that failed this recently is no news to the fleet.
-constexpr std::chrono::milliseconds KnownFailureAge{1000};
+
+/// Whether the target is more likely gray than not.
+bool isSuspected(const placement::target &Target, boot_time Now) {
+  return Target.Fleet.probabilityAt(Now) > 0.5;
+}
 
 } // namespace
 
@@ -259,9 +262,9 @@
 void gateway::observe(std::string_view RequestId, placement::target &Target,
                       placement::evidence Evidence, boot_time SentAt) {
   const boot_time Now = Loop.now();
-  const bool IsNews = Target.Fleet.lastFailure() == boot_time() ||
-                      Now - Target.Fleet.lastFailure() > KnownFailureAge;
+  const bool WasSuspected = isSuspected(Target, Now);
   TargetSet.observe(Target, Evidence, SentAt, Now);
+  const bool IsNews = !WasSuspected && isSuspected(Target, Now);
   if (Evidence != placement::evidence::Unreachable)
     Fleet->report(Target, Evidence, SentAt, IsNews);
   logEvidence(RequestId, Target, Evidence, Now - SentAt, Now);
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -17,6 +17,7 @@
 #include "Gateway/TargetPool.h"
 #include "Net/Message/HttpServer.h"
 #include "Placement/LossFilter.h"
+#include "Placement/RequestMix.h"
 #include "Placement/TargetRegistry.h"
 #include "Placement/TargetSet.h"
 #include "Routing/RouteTable.h"
@@ -130,6 +131,7 @@
   placement::target_set TargetSet;
   placement::target_registry TargetRegistry;
   placement::loss_filter Losses;
+  placement::request_mix RequestMix;
   target_pool Pool;
   std::unique_ptr<fleet_agent> Fleet;
   std::unique_ptr<store_sharing> Store;
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -31,6 +31,12 @@
   double HedgeAtFraction = 0.6;
   /// Fraction of the latency objective after which a request counts as stalled.
   double StalledAtFraction = 1.0;
+  /// The same where gray targets accept requests and never respond, so that
+  /// nothing else shows which targets are gray.
+  double StalledAtFractionIfHanging = 0.6;
+  /// Repeatable requests alone probe the targets of a service from this many a
+  /// second on, over the fleet.
+  double MinProbingRate = 5;
   /// The connection fails when a target does not acknowledge sent bytes for
   /// this long.
   duration UnacknowledgedTimeout = std::chrono::milliseconds(1500);
--- a/Source/UnitTests/Placement/GrayEstimatorTest.cpp
+++ b/Source/UnitTests/Placement/GrayEstimatorTest.cpp
@@ -63,8 +63,8 @@
 
 TEST_CASE("The gray estimate of a target that failed") {
   const gray_estimator_settings Settings;
-  episode_length Length;
-  gray_estimator Estimator(Settings, &Length);
+  gray_pattern Pattern;
+  gray_estimator Estimator(Settings, &Pattern);
   const boot_time Start(seconds(100));
   const auto Succeed = [&](boot_time At) {
     Estimator.observe(evidence::Succeeded, At, At);
@@ -91,7 +91,7 @@
   }
   SUBCASE("falls sooner when the start of the episode was not seen") {
     Break(Start + seconds(10));
-    gray_estimator Seen(Settings, &Length);
+    gray_estimator Seen(Settings, &Pattern);
     Seen.observe(evidence::Succeeded, Start + seconds(9), Start + seconds(9));
     Seen.observe(evidence::Broken, Start + seconds(10), Start + seconds(10));
     CHECK(Estimator.probabilityAt(Start + seconds(15)) <
@@ -108,3 +108,74 @@
     CHECK(Estimator.probabilityAt(Start + seconds(4)) > 0.5);
   }
 }
+
+TEST_CASE("The gray estimate where gray targets accept requests and hang") {
+  const gray_estimator_settings Settings;
+  gray_pattern Pattern;
+  const boot_time Start(seconds(100));
+  gray_estimator Estimator(Settings, &Pattern);
+  const auto ObserveAt = [&](evidence Evidence, milliseconds SentAt,
+                             milliseconds At) {
+    Estimator.observe(Evidence, Start + SentAt, Start + At);
+    return Estimator.probabilityAt(Start + At);
+  };
+  for (int Count = 0; Count < 10; ++Count)
+    Pattern.Mode.observe(true);
+  REQUIRE(Pattern.Mode.targetsHang());
+
+  SUBCASE("does not fall when a target accepts a request") {
+    CHECK(ObserveAt(evidence::Accepted, milliseconds(0), milliseconds(60)) >=
+          Settings.Prior * 0.99);
+  }
+  SUBCASE("falls with a response and rises with a stall") {
+    const double Proven =
+        ObserveAt(evidence::Succeeded, milliseconds(0), milliseconds(200));
+    CHECK(Proven < Settings.Prior / 2);
+    CHECK(ObserveAt(evidence::Stalled, milliseconds(250), milliseconds(610)) >
+          Settings.Prior);
+    CHECK(ObserveAt(evidence::Stalled, milliseconds(300), milliseconds(660)) >
+          0.8);
+
+    SUBCASE("which the late response of a stalled request takes back") {
+      ObserveAt(evidence::SucceededLate, milliseconds(250), milliseconds(700));
+      CHECK(ObserveAt(evidence::SucceededLate, milliseconds(300),
+                      milliseconds(720)) < Settings.Prior);
+    }
+    SUBCASE("and which a missed deadline confirms") {
+      CHECK(ObserveAt(evidence::TimedOut, milliseconds(250),
+                      milliseconds(2250)) > 0.8);
+    }
+  }
+  SUBCASE("rises little with a stall while many responses are late") {
+    for (int Count = 0; Count < 200; ++Count)
+      Pattern.Mode.observeResponse(Count % 2 == 0);
+    CHECK(Pattern.Mode.lateFraction() > 0.4);
+    ObserveAt(evidence::Succeeded, milliseconds(0), milliseconds(200));
+    CHECK(ObserveAt(evidence::Stalled, milliseconds(250), milliseconds(610)) <
+          Settings.Prior);
+  }
+  SUBCASE("is as before once targets reset requests again") {
+    for (int Count = 0; Count < 20; ++Count)
+      Pattern.Mode.observe(false);
+    CHECK_FALSE(Pattern.Mode.targetsHang());
+    CHECK(ObserveAt(evidence::Accepted, milliseconds(0), milliseconds(60)) <
+          Settings.Prior / 2);
+  }
+}
+
+TEST_CASE("How gray targets fail") {
+  failure_mode Mode;
+  SUBCASE("is a reset as long as nothing is known") {
+    CHECK_FALSE(Mode.targetsHang());
+  }
+  SUBCASE("is a reset where a healthy target is slow now and then") {
+    for (int Count = 0; Count < 200; ++Count)
+      Mode.observe(Count % 4 == 0);
+    CHECK_FALSE(Mode.targetsHang());
+  }
+  SUBCASE("is to hang after a few requests without a response") {
+    for (int Count = 0; Count < 5; ++Count)
+      Mode.observe(true);
+    CHECK(Mode.targetsHang());
+  }
+}
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -182,7 +182,7 @@
       Succeed(Id);
       Targets.find(Id)->LastUsed = Now;
     }
-    Query.Rate = 40;
+    Query.ProbingRate = 40;
     const auto ProbesOfFar = [&] {
       int Count = 0;
       for (int Index = 0; Index < 400; ++Index) {
@@ -198,13 +198,51 @@
     Now += milliseconds(300);
     CHECK(ProbesOfFar() > 8);
   }
+  SUBCASE("one that has failed, when repeatable requests can probe it") {
+    for (const char *Id : {"a", "b", "c", "d"})
+      Succeed(Id);
+    Targets.observe(*Targets.find("b"), evidence::Broken, Now, Now);
+    Query.ProbingRate = 40;
+    const auto ProbesIn = [&](duration Length) {
+      int Probes = 0;
+      for (const boot_time End = Now + Length; Now < End;
+           Now += milliseconds(25)) {
+        const auto Target = Targets.choose(Query, Now, Random);
+        Target->LastUsed = Now;
+        if (Target->Entry.Id != "b")
+          Succeed(Target->Entry.Id);
+        else
+          ++Probes;
+      }
+      return Probes;
+    };
+    Query.FailedFraction = 0.06;
+    Query.Repeatable = true;
+
+    SUBCASE("soon, so that no healthy target stays unused for two seconds") {
+      CHECK(ProbesIn(milliseconds(1400)) == 0);
+      CHECK(ProbesIn(milliseconds(1600)) > 0);
+    }
+    SUBCASE("not while few requests fail") {
+      Query.FailedFraction = 0.02;
+      CHECK(ProbesIn(seconds(4)) == 0);
+    }
+    SUBCASE("not by requests that would be lost") {
+      Query.Repeatable = false;
+      CHECK(ProbesIn(seconds(4)) == 0);
+    }
+    SUBCASE("not by a request that leaves probes to others") {
+      Query.MayProbe = false;
+      CHECK(ProbesIn(seconds(4)) == 0);
+    }
+  }
   SUBCASE("an unused one from time to time, as a probe") {
     for (const char *Id : {"a", "b", "c", "d"})
       Succeed(Id);
     Targets.observe(*Targets.find("b"), evidence::Broken, Now, Now);
     Now += seconds(5);
     Succeed("a");
-    Query.Rate = 40;
+    Query.ProbingRate = 40;
     Query.FailedFraction = 0.02;
     // One request every 25 ms, which matches the rate of 40 per second.
     const auto SendFor = [&](duration Length) {
