Bytes without end from a target: interim responses and foreign ones are counted, bodies share a bound

Cause: head and body of one response were bounded, but a target could send interim responses, or responses to other requests, until the request's deadline; and each of many responses could fill 64 MiB of a machine that has 400 MB.

Change: a connection gives up after sixteen responses that do not end its exchange. Each way to send without end has its test; without the count the two cases of responses fail, the others held before but for the shared bound. The rate scenario's freeze case waits for settled shares as its case "killed" does; its checks are unchanged.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -244,6 +244,7 @@
     ++Gateway.Counters.Connections;
     message::reader_limits Limits;
     Limits.BodyBytes = Forward.MaxResponseBytes;
+    Limits.Budget = Gateway.ResponseBodies;
     Attempt->Connection =
         message::client_connection::connect(Gateway.Loop, *Address, Limits);
   }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -42,7 +42,9 @@
                                     "target removed", {{"id", Id}});
                         TargetSet.remove(Id);
                       }}),
-      Losses(Settings.Losses), Pool(Loop, Settings.Forward) {}
+      Losses(Settings.Losses), Pool(Loop, Settings.Forward),
+      ResponseBodies(std::make_shared<message::body_budget>(
+          Settings.Forward.MaxReadingBytes)) {}
 
 gateway::~gateway() = default;
 
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -133,6 +133,8 @@
   placement::loss_filter Losses;
   placement::request_mix RequestMix;
   target_pool Pool;
+  /// Of all responses that are being read.
+  const std::shared_ptr<message::body_budget> ResponseBodies;
   std::unique_ptr<fleet_agent> Fleet;
   std::unique_ptr<store_sharing> Store;
   std::shared_ptr<const routing::route_table> Routes;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -35,6 +35,9 @@
   add(Samples, "magnolia_target_connections_total",
       "Connections opened to targets.",
       static_cast<double>(Counters.Connections));
+  add(Samples, "magnolia_response_bytes_being_read",
+      "Bytes of responses of targets that are not complete.",
+      static_cast<double>(ResponseBodies->used()));
   add(Samples, "magnolia_requests_in_flight", "Requests without an answer.",
       static_cast<double>(CallerServer->pendingRequests()));
   add(Samples, "magnolia_caller_connections", "Connections of callers.",
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -54,6 +54,8 @@
   /// latency.
   duration NetworkAllowance = std::chrono::milliseconds(5);
   size_t MaxResponseBytes = size_t{64} * 1024 * 1024;
+  /// Bytes of all response bodies that are being read.
+  size_t MaxReadingBytes = size_t{96} * 1024 * 1024;
 };
 
 /// Following the store.
--- a/Source/Net/Message/HttpClient.cpp
+++ b/Source/Net/Message/HttpClient.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr int FirstFinalStatus = 200;
+/// A server that sends more interim responses, or responses to other requests,
+/// may never send the one that is awaited.
+constexpr size_t MaxSkipped = 16;
 
 /// Parses the timeout of a Keep-Alive header such as "timeout=5".
 std::optional<duration> idleTimeoutOf(const header_list &Headers) {
@@ -69,6 +72,7 @@
 
 void client_connection::send(std::string_view Bytes, bool ExpectNoBody) {
   Busy = true;
+  Skipped = 0;
   LastUsed = Loop.now();
   Reader.expectNoBody(ExpectNoBody);
   Stream->write(Bytes);
@@ -77,6 +81,7 @@
 void client_connection::keepWaiting() {
   Busy = true;
   NotReusable = true;
+  ++Skipped;
 }
 
 bool client_connection::reusable() const {
@@ -105,6 +110,10 @@
     }
     if (!Reader.complete())
       return;
+    if (Skipped >= MaxSkipped) {
+      fail(exchange_failure::Malformed);
+      return;
+    }
     if (!Bytes.empty())
       NotReusable = true;
     deliverResponse();
@@ -115,8 +124,10 @@
   LastUsed = Loop.now();
   const bool KeepsAlive = Reader.keepsAlive();
   response Response = Reader.takeResponse();
-  if (Response.Status < FirstFinalStatus)
+  if (Response.Status < FirstFinalStatus) {
+    ++Skipped;
     return;
+  }
   if (!KeepsAlive)
     NotReusable = true;
   if (const auto Timeout = idleTimeoutOf(Response.Headers))
--- a/Source/Net/Message/HttpClient.h
+++ b/Source/Net/Message/HttpClient.h
@@ -91,6 +91,9 @@
   std::optional<duration> IdleTimeout;
   bool Busy = false;
   bool NotReusable = false;
+  /// Responses of this exchange that did not end it: interim ones and those of
+  /// other requests.
+  size_t Skipped = 0;
 };
 
 } // namespace magnolia::message
--- a/Source/Net/Message/MessageReader.cpp
+++ b/Source/Net/Message/MessageReader.cpp
@@ -29,6 +29,8 @@
   request Request;
   response Response;
   size_t HeadBytes = 0;
+  /// Bytes acquired from the budget that all readers share.
+  size_t HeldBytes = 0;
   bool InValue = false;
   bool InMessage = false;
   bool HeadRead = false;
@@ -37,6 +39,17 @@
   bool NoBody = false;
   read_error Error = read_error::None;
 
+  state() = default;
+  ~state() { releaseHeld(); }
+  state(const state &) = delete;
+  state &operator=(const state &) = delete;
+
+  void releaseHeld() {
+    if (Limits.Budget)
+      Limits.Budget->release(HeldBytes);
+    HeldBytes = 0;
+  }
+
   header_list &headers() {
     return Kind == message_kind::Request ? Request.Headers : Response.Headers;
   }
@@ -104,10 +117,14 @@
   }
 
   int onBody(std::string_view Bytes) {
-    if (body().size() + Bytes.size() > Limits.BodyBytes) {
+    const bool Fits =
+        body().size() + Bytes.size() <= Limits.BodyBytes &&
+        (!Limits.Budget || Limits.Budget->tryAcquire(Bytes.size()));
+    if (!Fits) {
       Error = read_error::BodyTooLarge;
       return 1;
     }
+    HeldBytes += Limits.Budget ? Bytes.size() : 0;
     body().append(Bytes);
     return 0;
   }
@@ -124,6 +141,7 @@
     http_parser_init(&Parser, Kind == message_kind::Request ? HTTP_REQUEST
                                                             : HTTP_RESPONSE);
     Parser.data = this;
+    releaseHeld();
     Request = request();
     Response = response();
     HeadBytes = 0;
@@ -212,7 +230,10 @@
 void message_reader::expectNoBody(bool NoBody) { State->NoBody = NoBody; }
 
 void message_reader::setLimits(const reader_limits &Limits) {
+  // What the current message holds stays with the budget that it came from.
+  const auto Budget = State->Limits.Budget;
   State->Limits = Limits;
+  State->Limits.Budget = Budget;
 }
 
 bool message_reader::expectsContinue() const {
--- a/Source/Net/Message/MessageReader.h
+++ b/Source/Net/Message/MessageReader.h
@@ -13,10 +13,34 @@
 /// Whether a reader parses requests or responses.
 enum class message_kind : uint8_t { Request, Response };
 
+/// Bounds the bytes of bodies that several readers hold together while they
+/// read them. Not thread-safe.
+class body_budget {
+public:
+  explicit body_budget(size_t Limit) : Limit(Limit) {}
+
+  /// False if \p Bytes more would exceed the limit.
+  bool tryAcquire(size_t Bytes) {
+    if (Bytes > Limit - Used)
+      return false;
+    Used += Bytes;
+    return true;
+  }
+  void release(size_t Bytes) { Used -= Bytes; }
+
+  size_t used() const { return Used; }
+
+private:
+  const size_t Limit;
+  size_t Used = 0;
+};
+
 /// Size limits of one message.
 struct reader_limits {
   size_t HeadBytes = size_t{64} * 1024;
   size_t BodyBytes = size_t{64} * 1024 * 1024;
+  /// Shared with other readers; null for no bound on the sum.
+  std::shared_ptr<body_budget> Budget = nullptr;
 };
 
 /// Why a message cannot be parsed.
--- a/Source/ScenarioTests/RateScenario.cpp
+++ b/Source/ScenarioTests/RateScenario.cpp
@@ -57,6 +57,8 @@
   SUBCASE("while all goes well") {}
 
   SUBCASE("when an instance is frozen past its loans and goes on") {
+    // As below: while it is frozen, nobody has the shares that it holds.
+    Fleet.awaitSharesSettled();
     Fleet.instanceProcess("i2").signal(SIGSTOP);
     awaitRuns(Callers, EnoughRuns / 2);
     Fleet.instanceProcess("i2").signal(SIGCONT);
--- a/Source/UnitTests/Net/Message/HttpClientTest.cpp
+++ b/Source/UnitTests/Net/Message/HttpClientTest.cpp
@@ -120,3 +120,94 @@
     CHECK(Responses[0].Status == 200);
   }
 }
+
+TEST_CASE("A server that sends bytes without end") {
+  const auto Loop = *magnolia::event::event_loop::create();
+  std::unique_ptr<raw_peer> Server;
+  const auto Listener = *magnolia::event::listener::open(
+      *Loop, "127.0.0.1:0", [&](int Descriptor) {
+        Server = std::make_unique<raw_peer>(*Loop, Descriptor);
+      });
+  const auto Budget = std::make_shared<body_budget>(size_t{100} * 1000);
+  reader_limits Limits;
+  Limits.HeadBytes = size_t{20} * 1000;
+  Limits.BodyBytes = size_t{60} * 1000;
+  Limits.Budget = Budget;
+  const auto Client = client_connection::connect(
+      *Loop, *magnolia::event::parseAddress(Listener->address()), Limits);
+  std::vector<exchange_failure> Failures;
+  size_t Responses = 0;
+  client_hooks Hooks;
+  Hooks.OnResponse = [&](const response & /*Response*/) {
+    ++Responses;
+    Client->keepWaiting();
+  };
+  // As the owner of a connection does after a failure.
+  Hooks.OnFailure = [&](exchange_failure Failure) {
+    Failures.push_back(Failure);
+    Client->close();
+  };
+  Client->setHooks(Hooks);
+  REQUIRE(Loop->runUntil([&] { return Server && Client->isConnected(); },
+                         seconds(2)));
+  Client->send("GET / HTTP/1.1\r\n\r\n", false);
+  // The failure must come before twenty times the limits were sent.
+  const auto SendOn = [&](const std::string &Bytes) {
+    size_t Sent = 0;
+    while (Failures.empty() && Sent < size_t{2} * 1000 * 1000) {
+      Server->send(Bytes);
+      Sent += Bytes.size();
+      Loop->runUntil([] { return false; }, milliseconds(1));
+    }
+    REQUIRE(Failures.size() == 1);
+    CHECK_FALSE(Client->isOpen());
+    return Failures[0];
+  };
+
+  SUBCASE("in place of a status line") {
+    CHECK(SendOn(std::string(1000, 'x')) == exchange_failure::Malformed);
+  }
+  SUBCASE("as headers") {
+    Server->send("HTTP/1.1 200 OK\r\n");
+    CHECK(SendOn("a: " + std::string(1000, 'x') + "\r\n") ==
+          exchange_failure::TooLarge);
+  }
+  SUBCASE("as the value of one header") {
+    Server->send("HTTP/1.1 200 OK\r\na: ");
+    CHECK(SendOn(std::string(1000, 'x')) == exchange_failure::TooLarge);
+  }
+  SUBCASE("as interim responses") {
+    CHECK(SendOn("HTTP/1.1 103 Early Hints\r\n\r\n") ==
+          exchange_failure::Malformed);
+  }
+  SUBCASE("as responses to other requests") {
+    CHECK(SendOn("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na") ==
+          exchange_failure::Malformed);
+    CHECK(Responses <= 20);
+  }
+  SUBCASE("as a body without a length") {
+    Server->send("HTTP/1.1 200 OK\r\n\r\n");
+    CHECK(SendOn(std::string(1000, 'x')) == exchange_failure::TooLarge);
+  }
+  SUBCASE("as chunks") {
+    Server->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    CHECK(SendOn("3e8\r\n" + std::string(1000, 'x') + "\r\n") ==
+          exchange_failure::TooLarge);
+  }
+  SUBCASE("as the extension of a chunk") {
+    Server->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+    CHECK(SendOn(std::string(1000, 'x')) == exchange_failure::TooLarge);
+  }
+  SUBCASE("as trailers") {
+    Server->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "0\r\n");
+    CHECK(SendOn("a: " + std::string(1000, 'x') + "\r\n") ==
+          exchange_failure::TooLarge);
+  }
+  SUBCASE("while other responses hold most of the memory for bodies") {
+    REQUIRE(Budget->tryAcquire(size_t{90} * 1000));
+    Server->send("HTTP/1.1 200 OK\r\n\r\n");
+    CHECK(SendOn(std::string(1000, 'x')) == exchange_failure::TooLarge);
+    CHECK(Budget->used() <= size_t{100} * 1000);
+  }
+}
