--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/FleetMessage.h"
 
+#include <algorithm>
+
 #include <nlohmann/json.hpp>
 
 #include "Common/Digest.h"
@@ -64,12 +66,13 @@
 
 json toJson(const std::array<table_status, TableCount> &Tables) {
   json Flat = json::array();
+  if (!isStated(Tables))
+    return Flat;
   for (const table_status &Status : Tables) {
     Flat.push_back(Status.Version);
     Flat.push_back(Status.Digest);
   }
-  const bool Empty = Tables == std::array<table_status, TableCount>();
-  return Empty ? json::array() : Flat;
+  return Flat;
 }
 
 json toJson(const update_message &Update) {
@@ -252,6 +255,12 @@
 
 } // namespace
 
+bool isStated(const std::array<table_status, TableCount> &Tables) {
+  return std::any_of(
+      Tables.begin(), Tables.end(),
+      [](const table_status &Status) { return Status.Version > 0; });
+}
+
 std::string encode(const message &Message) {
   const json Value =
       std::visit([](const auto &Kind) { return toJson(Kind); }, Message);
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -107,8 +107,8 @@
   uint64_t Number = 0;
   instance_state State = instance_state::Starting;
   reading_state Reading = reading_state::NotReading;
-  /// What the sender has of each table, in the order of table_id; empty in an
-  /// update that does not say.
+  /// What the sender has of each table, in the order of table_id; all zero in
+  /// an update that does not say.
   std::array<table_status, TableCount> Tables;
   std::vector<workspace_total> Workspaces;
   std::vector<service_total> Services;
@@ -161,6 +161,9 @@
 using message = std::variant<hello_message, update_message, events_message,
                              rows_message, bundle_message>;
 
+/// Whether an update says what its sender has of the tables.
+bool isStated(const std::array<table_status, TableCount> &Tables);
+
 /// Encodes the message as one datagram.
 std::string encode(const message &Message);
 
--- a/Source/Core/Fleet/PeerView.cpp
+++ b/Source/Core/Fleet/PeerView.cpp
@@ -53,7 +53,7 @@
     Peer->LastUpdate = Update.Number;
     Peer->State = Update.State;
     Peer->Reading = Update.Reading;
-    if (Update.Tables != std::array<table_status, TableCount>())
+    if (isStated(Update.Tables))
       Peer->Tables = Update.Tables;
   }
   for (const workspace_total &Total : Update.Workspaces)
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -133,6 +133,9 @@
 
 duration target_set::pauseAfterFailure(const placement_query &Query,
                                        size_t Excluded) const {
+  if (Query.Repeatable &&
+      Query.FailedFraction >= Settings.UrgentProbeFailedFraction)
+    return Settings.UrgentRepeatableProbeDelay;
   if (Query.Repeatable &&
       Query.FailedFraction >= Settings.RepeatableProbeFailedFraction)
     return Settings.RepeatableProbeDelay;
@@ -205,6 +208,7 @@
   // Until a probe of a hanging target shows what it is, other instances would
   // send theirs too.
   const bool Slow = targetsHang() &&
+                    Query.FailedFraction < Settings.UrgentProbeFailedFraction &&
                     Chosen->Fleet.probabilityAt(Now) >= RiskyProbeProbability;
   if (Slow && absl::Uniform(Random, 0.0, 1.0) > SlowProbeFraction)
     return nullptr;
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -54,6 +54,8 @@
   /// that the target is still gray.
   double RepeatableProbeFailedFraction = 0.05;
   duration RepeatableProbeDelay = std::chrono::milliseconds(1500);
+  /// The same from UrgentProbeFailedFraction on.
+  duration UrgentRepeatableProbeDelay = std::chrono::milliseconds(700);
   /// The same while more than this number of targets is excluded and at least
   /// this fraction of the requests fails.
   size_t UrgentProbeExcluded = 12;
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -223,6 +223,10 @@
       CHECK(ProbesIn(milliseconds(1400)) == 0);
       CHECK(ProbesIn(milliseconds(1600)) > 0);
     }
+    SUBCASE("sooner while a tenth of the requests fails") {
+      Query.FailedFraction = 0.12;
+      CHECK(ProbesIn(milliseconds(1800)) > 0);
+    }
     SUBCASE("not while few requests fail") {
       Query.FailedFraction = 0.02;
       CHECK(ProbesIn(seconds(4)) == 0);
