--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -102,8 +102,8 @@
 /// What changed since the sender's last update.
 struct update_message {
   uint64_t Boot = 0;
-  /// Increases with each update of the sender; they take different paths and
-  /// may arrive out of order.
+  /// Increases with each update of the sender, from one on; they take different
+  /// paths and may arrive out of order.
   uint64_t Number = 0;
   instance_state State = instance_state::Starting;
   reading_state Reading = reading_state::NotReading;
--- a/Source/Core/Fleet/PeerView.cpp
+++ b/Source/Core/Fleet/PeerView.cpp
@@ -47,9 +47,11 @@
     return false;
   // A peer that was unreachable used only its own part of the rates.
   const bool Charged = isReachable(*Peer, Now);
-  Peer->LastReceived = Now;
-  const bool OutOfOrder = Update.Number < Peer->LastUpdate;
-  if (!OutOfOrder) {
+  // One that was forwarded late, for example by an instance that was paused,
+  // says nothing of the present.
+  const bool Late = Update.Number != 0 && Update.Number <= Peer->LastUpdate;
+  if (!Late) {
+    Peer->LastReceived = Now;
     Peer->LastUpdate = Update.Number;
     Peer->State = Update.State;
     Peer->Reading = Update.Reading;
@@ -61,7 +63,7 @@
   for (const service_total &Total : Update.Services)
     applyServiceTotal(*Peer, Total, Charged);
   applyEvents(*Peer, Update.FirstEvent, Update.Events);
-  if (!OutOfOrder)
+  if (!Late)
     Hooks.OnUpdate(*Peer, Update);
   return true;
 }
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -28,6 +28,10 @@
   /// By fleet::audience, of all kinds but introductions.
   std::array<sent, fleet::AudienceCount> Sent;
   uint64_t Introductions = 0;
+  /// Updates of this instance for other failure domains.
+  uint64_t Updates = 0;
+  /// Messages with changed rows that this instance read from the store.
+  uint64_t RowsMessages = 0;
   uint64_t Received = 0;
   uint64_t ReceivedBytes = 0;
   /// Failures that waited for the next update, since too many urgent messages
@@ -163,6 +167,8 @@
   /// What this instance collected for other failure domains.
   std::vector<fleet::bundled_message> Collected;
   size_t CollectedBytes = 0;
+  /// When the first of it was received.
+  boot_time CollectedSince;
   fleet::urgent_limit UrgentLimit;
   peer_traffic Traffic;
   /// By audience.
--- a/Source/Gateway/FleetAgentUpdates.cpp
+++ b/Source/Gateway/FleetAgentUpdates.cpp
@@ -25,6 +25,7 @@
 constexpr size_t RelaysPerDomain = 1;
 /// How long a collector waits for more messages.
 constexpr std::chrono::milliseconds CollectDelay{40};
+constexpr std::chrono::milliseconds MaxCollectedAge{500};
 /// Larger bundles may not fit into one packet.
 constexpr size_t MaxBundleBytes = 1200;
 /// Encoded size of a bundled message beyond its bytes and its origin.
@@ -87,6 +88,7 @@
 }
 
 void fleet_agent::send(const fleet::rows_message &Rows) {
+  ++Traffic.RowsMessages;
   const std::string Bytes = fleet::encode(Rows);
   sendInDomain(Bytes);
   sendToOtherDomains({ownMessage(Bytes)});
@@ -164,9 +166,12 @@
   const fleet::update_message Update = makeUpdate(Audience, Full);
   State.LastInFlight = Update.InFlight.size();
   std::string Bytes = fleet::encode(Update);
-  if (Audience == audience::SameDomain)
+  if (Audience == audience::SameDomain) {
     sendInDomain(Bytes);
-  else if (Urgent)
+    return;
+  }
+  ++Traffic.Updates;
+  if (Urgent)
     sendToOtherDomains({ownMessage(std::move(Bytes))});
   else
     handToCollector(std::move(Bytes));
@@ -190,18 +195,23 @@
         Each.Bytes.size() + Each.Origin.size() + BundledOverhead;
     if (CollectedBytes + Size > MaxBundleBytes)
       sendCollected();
-    if (Collected.empty())
+    if (Collected.empty()) {
+      CollectedSince = Loop.now();
       Loop.callAfter(CollectDelay, [this] { sendCollected(); });
+    }
     Collected.push_back(std::move(Each));
     CollectedBytes += Size;
   }
 }
 
 void fleet_agent::sendCollected() {
-  if (Collected.empty())
-    return;
-  sendToOtherDomains(std::exchange(Collected, {}));
+  std::vector<fleet::bundled_message> Messages = std::exchange(Collected, {});
   CollectedBytes = 0;
+  // After a pause of this process they would pass for new; later updates make
+  // up for them.
+  if (Messages.empty() || Loop.now() - CollectedSince > MaxCollectedAge)
+    return;
+  sendToOtherDomains(std::move(Messages));
 }
 
 void fleet_agent::sendToOtherDomains(
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -109,6 +109,12 @@
   add(Samples, "magnolia_peer_introductions_sent_total",
       "Messages that introduce this instance.",
       static_cast<double>(Traffic.Introductions));
+  add(Samples, "magnolia_peer_updates_total",
+      "Updates for other failure domains.",
+      static_cast<double>(Traffic.Updates));
+  add(Samples, "magnolia_peer_rows_messages_total",
+      "Messages with changed rows of the store.",
+      static_cast<double>(Traffic.RowsMessages));
   add(Samples, "magnolia_peer_messages_received_total",
       "Messages from other instances.", static_cast<double>(Traffic.Received));
   add(Samples, "magnolia_peer_bytes_received_total",
--- a/Source/UnitTests/Fleet/PeerViewTest.cpp
+++ b/Source/UnitTests/Fleet/PeerViewTest.cpp
@@ -152,6 +152,22 @@
     CHECK(View.peers().at("other").State == instance_state::Draining);
     CHECK(WorkspaceUse == 3);
   }
+  SUBCASE("does not hear a peer through an update that was forwarded late") {
+    View.apply(Hello, Now);
+    Update.Number = 7;
+    Update.Workspaces = {{5, 3}};
+    View.apply(Update, Now);
+    // The peer has died; an instance that was paused forwards its updates.
+    Now += seconds(5);
+    View.apply(Update, Now);
+    Update.Number = 6;
+    View.apply(Update, Now);
+    CHECK_FALSE(View.isReachable(View.peers().at("other"), Now));
+    CHECK(WorkspaceUse == 3);
+    Update.Number = 8;
+    View.apply(Update, Now);
+    CHECK(View.isReachable(View.peers().at("other"), Now));
+  }
   SUBCASE("trusts one peer that reports LongSteady, though more peers fail") {
     for (const uint64_t Boot : {2UL, 3UL, 4UL}) {
       Hello.Boot = Boot;
