--- a/Source/ScenarioTests/Http.cpp
+++ b/Source/ScenarioTests/Http.cpp
@@ -1,5 +1,7 @@
 #include "ScenarioTests/Http.h"
 
+#include <csignal>
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -28,6 +30,9 @@
 } // namespace
 
 call_result send(const std::string &Address, const call &Call) {
+  // An instance may refuse a request and close the connection before all of it
+  // was written; the library does not suppress the signal.
+  std::signal(SIGPIPE, SIG_IGN);
   httplib::Client Client("http://" + Address);
   Client.set_tcp_nodelay(true);
   Client.set_connection_timeout(Call.Timeout);
