--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -59,31 +59,32 @@
   return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0};
 }
 
-bool fleet_budgets::tryExtraAttempt(uint32_t Service, double ReachableFraction,
-                                    boot_time Now) {
+budget_decision fleet_budgets::tryExtraAttempt(uint32_t Service,
+                                               double ReachableFraction,
+                                               boot_time Now) {
   budget &Budget = Budgets[Service];
   interval &Current = intervalAt(Budget, Now);
-  double Requests = 0;
-  double ExtraAttempts = 0;
+  budget_decision Decision;
   for (const interval &Interval : Budget.Window) {
     if (Interval.Number + static_cast<int64_t>(IntervalCount) <= Current.Number)
       continue;
-    Requests += Interval.Requests;
-    ExtraAttempts += Interval.ExtraAttempts;
+    Decision.Requests += Interval.Requests;
+    Decision.ExtraAttempts += Interval.ExtraAttempts;
   }
   const double AllowedSlack =
       Now - Started < Settings.Window
           ? Settings.Slack * Settings.FirstWindowSlackFraction
           : Settings.Slack;
-  const double Bound =
+  Decision.Bound =
       Settings.UsableFraction *
-      (Settings.Ratio * Requests + AllowedSlack * ReachableFraction);
-  if (ExtraAttempts + 1 > Bound)
-    return false;
+      (Settings.Ratio * Decision.Requests + AllowedSlack * ReachableFraction);
+  if (Decision.ExtraAttempts + 1 > Decision.Bound)
+    return Decision;
+  Decision.Granted = true;
   Current.ExtraAttempts += 1;
   ++Budget.ExtraAttempts;
   Budget.Changed.fill(true);
-  return true;
+  return Decision;
 }
 
 void fleet_budgets::chargePeers(const service_total &Growth, boot_time Now) {
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -35,6 +35,17 @@
   double FailedFraction = 0;
 };
 
+/// The result of fleet_budgets::tryExtraAttempt() and what it was decided on.
+struct budget_decision {
+  bool Granted = false;
+  /// Requests and extra attempts of the fleet in the window, as known to this
+  /// instance and before this decision.
+  double Requests = 0;
+  double ExtraAttempts = 0;
+  /// The number of extra attempts that these requests allow.
+  double Bound = 0;
+};
+
 /// The budget for extra attempts of each service, in a sliding window of the
 /// fleet's totals, and the fraction of requests that fail. Load pattern: all
 /// targets of a service refuse half of their requests, so that unbounded
@@ -53,11 +64,11 @@
   /// The statistics of about the last two seconds.
   service_stats statsOf(uint32_t Service, boot_time Now);
 
-  /// Consumes one extra attempt of the budget; false if none is left. \p
+  /// Consumes one extra attempt of the budget, if one is left. \p
   /// ReachableFraction: the fraction of the fleet whose attempts are known
   /// here.
-  bool tryExtraAttempt(uint32_t Service, double ReachableFraction,
-                       boot_time Now);
+  budget_decision tryExtraAttempt(uint32_t Service, double ReachableFraction,
+                                  boot_time Now);
 
   /// Charges \p Growth, the increase of a peer's totals.
   void chargePeers(const service_total &Growth, boot_time Now);
--- a/Source/Core/Placement/FailureMode.h
+++ b/Source/Core/Placement/FailureMode.h
@@ -21,6 +21,11 @@
   /// Whether gray targets mostly accept requests and never respond.
   bool targetsHang() const;
 
+  /// Recent failures of each kind, the latest with the weight one and earlier
+  /// ones with less.
+  double recentHangs() const { return Hangs; }
+  double recentResets() const { return Resets; }
+
   /// Fraction of the recent responses that came after a stall; above zero.
   double lateFraction() const { return LateFraction; }
 
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -166,6 +166,7 @@
 
   /// Whether gray targets mostly accept requests and never respond.
   bool targetsHang() const { return Pattern->Mode.targetsHang(); }
+  const failure_mode &failureMode() const { return Pattern->Mode; }
 
   size_t size() const { return ById.size(); }
   size_t sizeOf(std::string_view Service) const;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -371,14 +371,25 @@
 void exchange::maybeHedge() {
   if (Hedged || !mayUseAnotherTarget())
     return;
-  const boot_time Now = Gateway.Loop.now();
-  if (!Gateway.Fleet->budgets().tryExtraAttempt(
-          fleet::usageKey(Service), Gateway.Fleet->reachableFraction(), Now))
+  if (!tryExtraAttempt("second_send"))
     return;
   Hedged = true;
-  Reason = "second_send";
-  ++Gateway.Counters.ExtraAttempts;
   tryNext();
 }
 
+bool exchange::tryExtraAttempt(std::string_view Why) {
+  const fleet::budget_decision Decision =
+      Gateway.Fleet->budgets().tryExtraAttempt(
+          fleet::usageKey(Service), Gateway.Fleet->reachableFraction(),
+          Gateway.Loop.now());
+  logExtraAttempt({Id, Why, Service, Decision});
+  if (!Decision.Granted) {
+    ++Gateway.Counters.ExtraAttemptsRefused;
+    return false;
+  }
+  ++Gateway.Counters.ExtraAttempts;
+  Reason = Why;
+  return true;
+}
+
 } // namespace magnolia::gateway
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -69,6 +69,9 @@
   void startTimers(const attempt_ref &Attempt);
   void onStalled(const attempt_ref &Attempt);
   void maybeHedge();
+  /// Whether the budget allows one more attempt, which becomes the reason of
+  /// the next choice. \p Why: as in the log.
+  bool tryExtraAttempt(std::string_view Why);
 
   // Responses of targets.
   void onResponse(const attempt_ref &Attempt, message::response Response);
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -112,20 +112,14 @@
 void exchange::onTargetError(message::response Response) {
   const bool CanRetry = repeatable() && mayUseAnotherTarget() &&
                         timeLeft() > Gateway.Settings.Forward.MinTimeLeft;
-  if (openAttempts() > 0 ||
-      (CanRetry &&
-       Gateway.Fleet->budgets().tryExtraAttempt(
-           fleet::usageKey(Service), Gateway.Fleet->reachableFraction(),
-           Gateway.Loop.now()))) {
-    TargetError = std::move(Response);
-    Reason = "retry";
-    if (openAttempts() == 0) {
-      ++Gateway.Counters.ExtraAttempts;
-      tryNext();
-    }
+  const bool Waits = openAttempts() > 0;
+  if (!Waits && !(CanRetry && tryExtraAttempt("retry"))) {
+    forwardResponse(std::move(Response));
     return;
   }
-  forwardResponse(std::move(Response));
+  TargetError = std::move(Response);
+  if (!Waits)
+    tryNext();
 }
 
 void exchange::onNotRun(const attempt_ref &Attempt) {
@@ -135,11 +129,8 @@
   MayHaveRun = RefusedBy.size() < SentTo.size();
   if (openAttempts() > 0)
     return;
-  const boot_time Now = Gateway.Loop.now();
   const bool MayRepeat =
-      RefusedBy.size() < MaxRefusals &&
-      Gateway.Fleet->budgets().tryExtraAttempt(
-          fleet::usageKey(Service), Gateway.Fleet->reachableFraction(), Now);
+      RefusedBy.size() < MaxRefusals && tryExtraAttempt("after_refusal");
   if (!MayRepeat) {
     if (TargetError)
       forwardResponse(std::move(*TargetError));
@@ -148,8 +139,6 @@
              "targets refuse requests");
     return;
   }
-  ++Gateway.Counters.ExtraAttempts;
-  Reason = "after_refusal";
   if (mayUseAnotherTarget() && hasUntriedTarget()) {
     tryNext();
     return;
@@ -202,11 +191,7 @@
     return;
   const bool CanRetry = repeatable() && MayHaveRun && mayUseAnotherTarget() &&
                         timeLeft() > Gateway.Settings.Forward.MinTimeLeft;
-  if (CanRetry && Gateway.Fleet->budgets().tryExtraAttempt(
-                      fleet::usageKey(Service),
-                      Gateway.Fleet->reachableFraction(), Gateway.Loop.now())) {
-    ++Gateway.Counters.ExtraAttempts;
-    Reason = "retry";
+  if (CanRetry && tryExtraAttempt("retry")) {
     tryNext();
     return;
   }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -165,9 +165,22 @@
   Loop.callEvery(SweepPeriod, [this] {
     Pool.sweep();
     TargetRegistry.advance(storeAvailability(), Loop.now());
+    logFailureMode();
   });
 }
 
+void gateway::logFailureMode() {
+  const placement::failure_mode &Mode = TargetSet.failureMode();
+  if (Mode.targetsHang() == TargetsHang)
+    return;
+  TargetsHang = Mode.targetsHang();
+  common::log(log_level::Info, Component,
+              TargetsHang ? "targets hang" : "targets respond again",
+              {{"recent_hangs", Mode.recentHangs()},
+               {"recent_resets", Mode.recentResets()},
+               {"late_fraction", Mode.lateFraction()}});
+}
+
 message::server_limits gateway::callerLimits() const {
   message::server_limits Limits;
   if (!Routes)
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -54,6 +54,8 @@
   uint64_t CallersDisconnected = 0;
   uint64_t Sends = 0;
   uint64_t ExtraAttempts = 0;
+  /// Extra attempts that the budget did not allow.
+  uint64_t ExtraAttemptsRefused = 0;
   uint64_t Connections = 0;
 };
 
@@ -113,6 +115,8 @@
   /// milliseconds it counts only against the path to the target; then it counts
   /// against the target as well, unless many others were lost with it.
   void onConnectionLost(placement::lost_connection Lost);
+  /// Logs when the belief changes that targets hang.
+  void logFailureMode();
   void continueShutdown();
   /// Whether a graceful shutdown is so far advanced that a request with the
   /// deadline \p RespondBy must be refused.
@@ -143,6 +147,8 @@
   std::unique_ptr<message::http_server> CallerServer;
   std::unique_ptr<message::http_server> PeerServer;
   bool TargetsRead = false;
+  /// As last logged.
+  bool TargetsHang = false;
   bool ShuttingDown = false;
   boot_time ShutdownStarted;
 };
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -29,6 +29,9 @@
   add(Samples, "magnolia_second_sends_total",
       "Sends beyond the first of a request.",
       static_cast<double>(Counters.ExtraAttempts));
+  add(Samples, "magnolia_extra_attempts_refused_total",
+      "Sends beyond the first of a request that the budget did not allow.",
+      static_cast<double>(Counters.ExtraAttemptsRefused));
   add(Samples, "magnolia_callers_gone_total",
       "Requests whose caller left before the answer.",
       static_cast<double>(Counters.CallersDisconnected));
@@ -59,6 +62,9 @@
     else
       ++Healthy;
   });
+  add(Samples, "magnolia_targets_hang",
+      "Whether gray targets are believed to accept requests and not respond.",
+      TargetSet.targetsHang() ? 1 : 0);
   constexpr std::string_view Name = "magnolia_targets";
   constexpr std::string_view Help = "Targets by state.";
   Samples.push_back({Name, Help, {{"state", "sound"}}, Healthy});
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -38,6 +38,19 @@
                {"left_ms", millis(Line.TimeLeft)}});
 }
 
+void logExtraAttempt(const extra_attempt_record &Line) {
+  const fleet::budget_decision &Decision = Line.Decision;
+  common::log(log_level::Info, Component,
+              Decision.Granted ? "extra attempt granted"
+                               : "extra attempt refused",
+              {{"id", Line.Id},
+               {"reason", Line.Reason},
+               {"service", Line.Service},
+               {"requests", Decision.Requests},
+               {"extra_attempts", Decision.ExtraAttempts},
+               {"bound", rounded(Decision.Bound)}});
+}
+
 void logEvidence(std::string_view Id, const placement::target &Target,
                  placement::evidence Evidence, duration Age, boot_time Now) {
   const bool Good = Evidence == placement::evidence::Succeeded ||
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -20,6 +20,16 @@
 };
 void logAttemptStart(const attempt_record &Line);
 
+/// A decision on one more attempt and what it was decided on.
+struct extra_attempt_record {
+  std::string_view Id;
+  /// As in attempt_record.
+  std::string_view Reason;
+  std::string_view Service;
+  fleet::budget_decision Decision;
+};
+void logExtraAttempt(const extra_attempt_record &Line);
+
 /// Logs the evidence of an attempt, at its end or while it runs.
 void logEvidence(std::string_view Id, const placement::target &Target,
                  placement::evidence Evidence, duration Age, boot_time Now);
--- a/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
@@ -15,7 +15,7 @@
   boot_time Now(seconds(100));
   const auto TakeAll = [&](double ReachableFraction) {
     int Taken = 0;
-    while (Budgets.tryExtraAttempt(7, ReachableFraction, Now))
+    while (Budgets.tryExtraAttempt(7, ReachableFraction, Now).Granted)
       ++Taken;
     return Taken;
   };
@@ -44,7 +44,7 @@
   }
   SUBCASE("is kept for each service") {
     CHECK(TakeAll(1) == 20);
-    CHECK(Budgets.tryExtraAttempt(8, 1, Now));
+    CHECK(Budgets.tryExtraAttempt(8, 1, Now).Granted);
   }
 }
 
@@ -61,7 +61,7 @@
     const auto Own = static_cast<size_t>(Index) % Fleet.size();
     Fleet[Own].countRequest(7, Now);
     const bool ExtraAttempt =
-        Index % 2 == 0 && Fleet[Own].tryExtraAttempt(7, 1, Now);
+        Index % 2 == 0 && Fleet[Own].tryExtraAttempt(7, 1, Now).Granted;
     if (ExtraAttempt)
       ++ExtraAttempts;
     for (size_t Other = 0; Other < Fleet.size(); ++Other)
@@ -84,7 +84,7 @@
     for (int Index = First; Index < End; ++Index) {
       const boot_time Now = Start + milliseconds(Index * 27);
       Instance.countRequest(7, Now);
-      while (Instance.tryExtraAttempt(7, 1, Now))
+      while (Instance.tryExtraAttempt(7, 1, Now).Granted)
         ++ExtraAttempts;
     }
   };
@@ -97,7 +97,7 @@
   SUBCASE("uses the whole slack again after it") {
     const boot_time Later = Restart + seconds(21);
     int Taken = 0;
-    while (After.tryExtraAttempt(7, 1, Later))
+    while (After.tryExtraAttempt(7, 1, Later).Granted)
       ++Taken;
     CHECK(Taken == 45);
   }
