Known red: all targets of a service refuse at the same moment, and the fleet exceeds its budget

Every instance grants extra attempts against what it knows, and what the others granted within the last half second is not known.

--- a/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
@@ -1,5 +1,10 @@
 #include "Fleet/FleetBudgets.h"
 
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <vector>
+
 #include <doctest/doctest.h>
 
 using namespace magnolia::fleet;
@@ -72,6 +77,140 @@
   CHECK(ExtraAttempts > 100);
 }
 
+namespace {
+
+/// A fleet whose instances report their totals to each other with a delay,
+/// while targets refuse every attempt.
+class refused_fleet {
+public:
+  static constexpr size_t Instances = 43;
+  static constexpr int RequestsPerSecond = 550;
+  static constexpr int MaxExtraAttempts = 6;
+  static constexpr milliseconds Step{2};
+  static constexpr milliseconds ReportPeriod{500};
+  static constexpr milliseconds Transit{60};
+
+  explicit refused_fleet(const budget_settings &Settings)
+      : Settings(Settings),
+        Fleet(Instances, fleet_budgets(Settings, boot_time())) {}
+
+  /// Sends requests for \p Duration; the targets refuse those of the first \p
+  /// RefusedAt instances.
+  void run(milliseconds Duration, size_t RefusedAt) {
+    const boot_time End = Now + Duration;
+    for (; Now < End; Now += Step) {
+      const size_t Own = NextRequest++ % Instances;
+      Fleet[Own].countRequest(Service, Now);
+      Requests.push_back(Now);
+      if (Own < RefusedAt)
+        repeat(Own);
+      exchangeTotals();
+    }
+  }
+
+  /// Whether no window has more extra attempts than the requests allow.
+  bool withinBudget() const {
+    return std::all_of(Attempts.begin(), Attempts.end(), [&](boot_time First) {
+      return static_cast<double>(countIn(Attempts, First)) <=
+             Settings.Ratio * static_cast<double>(requestsFor(First)) +
+                 Settings.Slack;
+    });
+  }
+
+  size_t attempts() const { return Attempts.size(); }
+
+private:
+  static constexpr uint32_t Service = 7;
+
+  struct report {
+    boot_time ArrivesAt;
+    size_t From = 0;
+    service_total Growth;
+  };
+
+  size_t countIn(const std::vector<boot_time> &Times, boot_time First) const {
+    const auto Begin = std::lower_bound(Times.begin(), Times.end(), First);
+    const auto End =
+        std::lower_bound(Times.begin(), Times.end(), First + Settings.Window);
+    return static_cast<size_t>(End - Begin);
+  }
+
+  /// The requests of the window from \p First on or of the one before it,
+  /// whichever are more.
+  size_t requestsFor(boot_time First) const {
+    return std::max(countIn(Requests, First),
+                    countIn(Requests, First - Settings.Window));
+  }
+
+  void repeat(size_t Own) {
+    for (int Count = 0; Count < MaxExtraAttempts; ++Count) {
+      if (!Fleet[Own].tryExtraAttempt(Service, 1, Now).Granted)
+        return;
+      Attempts.push_back(Now);
+    }
+  }
+
+  void exchangeTotals() {
+    for (size_t From = 0; From < Instances; ++From) {
+      const auto Phase = milliseconds(From * ReportPeriod.count() / Instances);
+      if ((Now.time_since_epoch() - Phase) % ReportPeriod >= Step)
+        continue;
+      for (const service_total &Total :
+           Fleet[From].collectTotals(audience::OtherDomains, false)) {
+        service_total &Known = Reported[From];
+        Reports.push_back({Now + Transit,
+                           From,
+                           {Service, Total.Requests - Known.Requests,
+                            Total.ExtraAttempts - Known.ExtraAttempts, 0}});
+        Known = Total;
+      }
+    }
+    for (; !Reports.empty() && Reports.front().ArrivesAt <= Now;
+         Reports.pop_front())
+      for (size_t To = 0; To < Instances; ++To)
+        if (To != Reports.front().From)
+          Fleet[To].chargePeers(Reports.front().Growth, Now);
+  }
+
+  const budget_settings Settings;
+  std::vector<fleet_budgets> Fleet;
+  std::array<service_total, Instances> Reported{};
+  std::deque<report> Reports;
+  std::vector<boot_time> Requests;
+  std::vector<boot_time> Attempts;
+  size_t NextRequest = 0;
+  boot_time Now{seconds(100)};
+};
+
+} // namespace
+
+TEST_CASE("All targets of a service refuse at the same moment") {
+  const budget_settings Settings{0.2, 184, seconds(10), 0.75};
+  refused_fleet Fleet(Settings);
+  Fleet.run(seconds(10), 0);
+  REQUIRE(Fleet.attempts() == 0);
+
+  SUBCASE("at all instances, and the fleet stays within its budget") {
+    Fleet.run(seconds(15), refused_fleet::Instances);
+    CHECK(Fleet.withinBudget());
+    // And uses most of it: the bound is 1,284 in ten seconds.
+    CHECK(Fleet.attempts() > 1200);
+  }
+  SUBCASE("again after they took requests for a while") {
+    for (int Count = 0; Count < 4; ++Count) {
+      Fleet.run(seconds(1), refused_fleet::Instances);
+      Fleet.run(seconds(4), 0);
+    }
+    CHECK(Fleet.withinBudget());
+  }
+  SUBCASE("at one instance, which repeats most of its requests") {
+    Fleet.run(seconds(4), 1);
+    CHECK(Fleet.withinBudget());
+    // It gets 13 requests a second.
+    CHECK(Fleet.attempts() > 40);
+  }
+}
+
 TEST_CASE("A fleet that restarts within a window") {
   // All targets fail; in the middle of the run every instance restarts without
   // knowing the earlier attempts.
