Extra attempts: what is left of the budget is divided while attempts are unreported

Cause: the budget is a replica on each instance. An attempt of another instance counts when it is reported, 0.25 to 0.7 s later, but a refusal is answered by the next attempt within 10 ms. In that time every instance spends what is left as if it were alone. The class: a bound over the fleet that rests on news being faster than the load.

Why it holds now: in any 0.75 s an instance uses at most its part, one of the reachable instances, of what was left before its own unreported attempts. All that is unreported is then at most what was left, however fast refusals come. A part below one is used in as many such times as it says.

Measured: FleetTests "All targets of a service refuse at the same moment" failed before in two of three parts and holds, 16 of 16, fleet and adapter tests too; its third part and a lower bound show that the budget is still used.

--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -1,5 +1,13 @@
 #include "Fleet/FleetBudgets.h"
 
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include <absl/strings/str_cat.h>
+
+#include "Common/Digest.h"
+
 namespace magnolia::fleet {
 namespace {
 
@@ -59,8 +67,22 @@
   return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0};
 }
 
+double fleet_budgets::ownPart(double Attempts, const fleet_part &Fleet,
+                              uint32_t Service, boot_time Now) const {
+  const double Part =
+      std::max(Attempts, 0.0) / static_cast<double>(Fleet.Instances);
+  const double Whole = std::floor(Part);
+  const int64_t Period = Now.time_since_epoch() / Settings.ReportTime;
+  const auto Drawn = static_cast<double>(
+      common::stableHash(absl::StrCat(Service, "/", Period), Instance));
+  const bool RoundsUp =
+      Drawn < (Part - Whole) *
+                  static_cast<double>(std::numeric_limits<uint64_t>::max());
+  return Whole + (RoundsUp ? 1 : 0);
+}
+
 budget_decision fleet_budgets::tryExtraAttempt(uint32_t Service,
-                                               double ReachableFraction,
+                                               const fleet_part &Fleet,
                                                boot_time Now) {
   budget &Budget = Budgets[Service];
   interval &Current = intervalAt(Budget, Now);
@@ -77,10 +99,19 @@
           : Settings.Slack;
   Decision.Bound =
       Settings.UsableFraction *
-      (Settings.Ratio * Decision.Requests + AllowedSlack * ReachableFraction);
-  if (Decision.ExtraAttempts + 1 > Decision.Bound)
+      (Settings.Ratio * Decision.Requests + AllowedSlack * Fleet.Reachable);
+  std::deque<boot_time> &Unreported = Budget.Unreported;
+  while (!Unreported.empty() && Now - Unreported.front() >= Settings.ReportTime)
+    Unreported.pop_front();
+  Decision.Unreported = Unreported.size();
+  const double LeftBefore = Decision.Bound - Decision.ExtraAttempts +
+                            static_cast<double>(Decision.Unreported);
+  Decision.OwnPart = ownPart(LeftBefore, Fleet, Service, Now);
+  if (Decision.ExtraAttempts + 1 > Decision.Bound ||
+      static_cast<double>(Decision.Unreported) + 1 > Decision.OwnPart)
     return Decision;
   Decision.Granted = true;
+  Unreported.push_back(Now);
   Current.ExtraAttempts += 1;
   ++Budget.ExtraAttempts;
   Budget.Changed.fill(true);
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -18,9 +19,11 @@
   /// Extra attempts in the window in addition to those.
   double Slack = 20;
   duration Window = std::chrono::seconds(10);
-  /// The fraction of the bound that an instance uses, since peers' totals
-  /// arrive late.
+  /// The fraction of the bound that is used, since messages may be lost.
   double UsableFraction = 0.75;
+  /// Time in which an extra attempt becomes known to all peers. In any such
+  /// time an instance uses its part of what is left of the bound and no more.
+  duration ReportTime = std::chrono::milliseconds(750);
   /// The fraction of the slack that an instance uses in its first window: the
   /// attempts of its predecessors still count in that window and are unknown to
   /// it.
@@ -44,18 +47,34 @@
   double ExtraAttempts = 0;
   /// The number of extra attempts that these requests allow.
   double Bound = 0;
+  /// Own extra attempts that peers may not know of yet.
+  size_t Unreported = 0;
+  /// How many of those this instance may have.
+  double OwnPart = 0;
+};
+
+/// The part of the fleet that an instance knows.
+struct fleet_part {
+  /// The fraction of the fleet whose attempts are known here.
+  double Reachable = 1;
+  /// Instances that are reachable, this one included.
+  size_t Instances = 1;
 };
 
 /// The budget for extra attempts of each service, in a sliding window of the
-/// fleet's totals, and the fraction of requests that fail. Load pattern: all
-/// targets of a service refuse half of their requests, so that unbounded
-/// retries would double the load; also while many instances restart. Reads no
-/// clock; not thread-safe.
+/// fleet's totals, and the fraction of requests that fail. What is left of the
+/// budget is divided among the instances for the time in which their attempts
+/// are unknown to each other, so that they never use it twice. Load pattern:
+/// all targets of a service start to refuse most requests at the same moment,
+/// and a refusal is answered by the next attempt within milliseconds; also
+/// while many instances restart. Reads no clock; not thread-safe.
 class fleet_budgets {
 public:
   /// \p Started: when this instance started counting.
-  explicit fleet_budgets(const budget_settings &Settings, boot_time Started)
-      : Settings(Settings), Started(Started) {}
+  /// \p Instance: a number that differs between the instances.
+  explicit fleet_budgets(const budget_settings &Settings, boot_time Started,
+                         uint64_t Instance = 0)
+      : Settings(Settings), Started(Started), Instance(Instance) {}
 
   void countRequest(uint32_t Service, boot_time Now);
 
@@ -64,10 +83,9 @@
   /// The statistics of about the last two seconds.
   service_stats statsOf(uint32_t Service, boot_time Now);
 
-  /// Consumes one extra attempt of the budget, if one is left. \p
-  /// ReachableFraction: the fraction of the fleet whose attempts are known
-  /// here.
-  budget_decision tryExtraAttempt(uint32_t Service, double ReachableFraction,
+  /// Consumes one extra attempt of the budget, if one is left for this
+  /// instance.
+  budget_decision tryExtraAttempt(uint32_t Service, const fleet_part &Fleet,
                                   boot_time Now);
 
   /// Charges \p Growth, the increase of a peer's totals.
@@ -90,6 +108,8 @@
 
   struct budget {
     std::array<interval, IntervalCount> Window;
+    /// Times of own extra attempts that peers may not know of yet.
+    std::deque<boot_time> Unreported;
     uint64_t Requests = 0;
     uint64_t ExtraAttempts = 0;
     uint64_t Failed = 0;
@@ -98,9 +118,15 @@
 
   interval &intervalAt(budget &Budget, boot_time Now) const;
   int64_t intervalNumber(boot_time Now) const;
+  /// This instance's part of \p Attempts, as a whole number. A fraction counts
+  /// as one in as many report times as it says, so that a fleet with more
+  /// instances than attempts uses them too.
+  double ownPart(double Attempts, const fleet_part &Fleet, uint32_t Service,
+                 boot_time Now) const;
 
   const budget_settings Settings;
   const boot_time Started;
+  const uint64_t Instance;
   absl::flat_hash_map<uint32_t, budget> Budgets;
 };
 
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -379,9 +379,9 @@
 
 bool exchange::tryExtraAttempt(std::string_view Why) {
   const fleet::budget_decision Decision =
-      Gateway.Fleet->budgets().tryExtraAttempt(
-          fleet::usageKey(Service), Gateway.Fleet->reachableFraction(),
-          Gateway.Loop.now());
+      Gateway.Fleet->budgets().tryExtraAttempt(fleet::usageKey(Service),
+                                               Gateway.Fleet->reachablePart(),
+                                               Gateway.Loop.now());
   logExtraAttempt({Id, Why, Service, Decision});
   if (!Decision.Granted) {
     ++Gateway.Counters.ExtraAttemptsRefused;
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -50,7 +50,7 @@
     : Loop(Loop), Settings(Settings), TargetSet(TargetSet),
       Instances(std::move(Instances)), Hooks(std::move(Hooks)),
       Boot(makeBootId()), Started(Loop.now()), Buckets(Settings.Rates),
-      Budgets(Settings.Budget, Started), RelayRound(Boot),
+      Budgets(Settings.Budget, Started, Boot), RelayRound(Boot),
       UrgentLimit(Settings.Urgent) {}
 
 absl::StatusOr<std::unique_ptr<fleet_agent>>
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -86,6 +86,9 @@
   double reachableFraction() const {
     return Peers->reachableFraction(Loop.now());
   }
+  fleet::fleet_part reachablePart() const {
+    return {reachableFraction(), Peers->reachableCount(Loop.now()) + 1};
+  }
   /// The fraction of the registered fleet that this instance is.
   double ownFraction() const {
     return 1 / static_cast<double>(Peers->size() + 1);
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -48,7 +48,9 @@
                {"service", Line.Service},
                {"requests", Decision.Requests},
                {"extra_attempts", Decision.ExtraAttempts},
-               {"bound", rounded(Decision.Bound)}});
+               {"bound", rounded(Decision.Bound)},
+               {"unreported", Decision.Unreported},
+               {"own_part", Decision.OwnPart}});
 }
 
 void logEvidence(std::string_view Id, const placement::target &Target,
--- a/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
@@ -20,7 +20,7 @@
   boot_time Now(seconds(100));
   const auto TakeAll = [&](double ReachableFraction) {
     int Taken = 0;
-    while (Budgets.tryExtraAttempt(7, ReachableFraction, Now).Granted)
+    while (Budgets.tryExtraAttempt(7, {ReachableFraction}, Now).Granted)
       ++Taken;
     return Taken;
   };
@@ -49,7 +49,7 @@
   }
   SUBCASE("is kept for each service") {
     CHECK(TakeAll(1) == 20);
-    CHECK(Budgets.tryExtraAttempt(8, 1, Now).Granted);
+    CHECK(Budgets.tryExtraAttempt(8, {}, Now).Granted);
   }
 }
 
@@ -57,7 +57,9 @@
   // Sixteen instances receive 70 requests per second in total and retry each
   // refused request once.
   const budget_settings Settings{0.2, 60, seconds(10), 0.75};
-  std::vector<fleet_budgets> Fleet(16, fleet_budgets(Settings, boot_time()));
+  std::vector<fleet_budgets> Fleet;
+  for (uint64_t Instance = 0; Instance < 16; ++Instance)
+    Fleet.emplace_back(Settings, boot_time(), Instance);
   const boot_time Start(seconds(100));
   int ExtraAttempts = 0;
   constexpr int Requests = 700;
@@ -66,7 +68,8 @@
     const auto Own = static_cast<size_t>(Index) % Fleet.size();
     Fleet[Own].countRequest(7, Now);
     const bool ExtraAttempt =
-        Index % 2 == 0 && Fleet[Own].tryExtraAttempt(7, 1, Now).Granted;
+        Index % 2 == 0 &&
+        Fleet[Own].tryExtraAttempt(7, {1, Fleet.size()}, Now).Granted;
     if (ExtraAttempt)
       ++ExtraAttempts;
     for (size_t Other = 0; Other < Fleet.size(); ++Other)
@@ -90,9 +93,10 @@
   static constexpr milliseconds ReportPeriod{500};
   static constexpr milliseconds Transit{60};
 
-  explicit refused_fleet(const budget_settings &Settings)
-      : Settings(Settings),
-        Fleet(Instances, fleet_budgets(Settings, boot_time())) {}
+  explicit refused_fleet(const budget_settings &Settings) : Settings(Settings) {
+    for (uint64_t Instance = 0; Instance < Instances; ++Instance)
+      Fleet.emplace_back(Settings, boot_time(), Instance);
+  }
 
   /// Sends requests for \p Duration; the targets refuse those of the first \p
   /// RefusedAt instances.
@@ -144,7 +148,7 @@
 
   void repeat(size_t Own) {
     for (int Count = 0; Count < MaxExtraAttempts; ++Count) {
-      if (!Fleet[Own].tryExtraAttempt(Service, 1, Now).Granted)
+      if (!Fleet[Own].tryExtraAttempt(Service, {1, Instances}, Now).Granted)
         return;
       Attempts.push_back(Now);
     }
@@ -223,7 +227,7 @@
     for (int Index = First; Index < End; ++Index) {
       const boot_time Now = Start + milliseconds(Index * 27);
       Instance.countRequest(7, Now);
-      while (Instance.tryExtraAttempt(7, 1, Now).Granted)
+      while (Instance.tryExtraAttempt(7, {}, Now).Granted)
         ++ExtraAttempts;
     }
   };
@@ -236,7 +240,7 @@
   SUBCASE("uses the whole slack again after it") {
     const boot_time Later = Restart + seconds(21);
     int Taken = 0;
-    while (After.tryExtraAttempt(7, 1, Later).Granted)
+    while (After.tryExtraAttempt(7, {}, Later).Granted)
       ++Taken;
     CHECK(Taken == 45);
   }
