Probes of gray targets leave the budget of extra attempts to requests that fail

Cause: repeatable requests probed excluded targets 0.7 s after a failure, retries too, and without regard to the budget. When it was used up, each probe that met a gray target was a lost request; lost requests keep the early probes going. The class: a measure against failures that feeds on them.

The belief that targets hang never changed, so that guess is ruled out.

Change: the decision stands in Placement/ProbePolicy: a request probes with its first attempt only, early probes end while half of the budget is used, and their interval counts from the last request, not from its failure. TargetSetTest: the failed target of the case has its last use, as a sent request leaves it; a case for a failure that is seen late. No bound is changed.

Why it holds now: a probe can be repeated when it fails, and what other failures need of the budget is not spent on probes.

--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -81,25 +81,36 @@
   return Whole + (RoundsUp ? 1 : 0);
 }
 
-budget_decision fleet_budgets::tryExtraAttempt(uint32_t Service,
-                                               const fleet_part &Fleet,
-                                               boot_time Now) {
-  budget &Budget = Budgets[Service];
-  interval &Current = intervalAt(Budget, Now);
-  budget_decision Decision;
+budget_decision fleet_budgets::stateOf(budget &Budget, const fleet_part &Fleet,
+                                       boot_time Now) const {
+  const int64_t Current = intervalNumber(Now);
+  budget_decision State;
   for (const interval &Interval : Budget.Window) {
-    if (Interval.Number + static_cast<int64_t>(IntervalCount) <= Current.Number)
+    if (Interval.Number + static_cast<int64_t>(IntervalCount) <= Current)
       continue;
-    Decision.Requests += Interval.Requests;
-    Decision.ExtraAttempts += Interval.ExtraAttempts;
+    State.Requests += Interval.Requests;
+    State.ExtraAttempts += Interval.ExtraAttempts;
   }
   const double AllowedSlack =
       Now - Started < Settings.Window
           ? Settings.Slack * Settings.FirstWindowSlackFraction
           : Settings.Slack;
-  Decision.Bound =
-      Settings.UsableFraction *
-      (Settings.Ratio * Decision.Requests + AllowedSlack * Fleet.Reachable);
+  State.Bound = Settings.UsableFraction * (Settings.Ratio * State.Requests +
+                                           AllowedSlack * Fleet.Reachable);
+  return State;
+}
+
+double fleet_budgets::usedFraction(uint32_t Service, const fleet_part &Fleet,
+                                   boot_time Now) {
+  const budget_decision State = stateOf(Budgets[Service], Fleet, Now);
+  return State.Bound > 0 ? State.ExtraAttempts / State.Bound : 1;
+}
+
+budget_decision fleet_budgets::tryExtraAttempt(uint32_t Service,
+                                               const fleet_part &Fleet,
+                                               boot_time Now) {
+  budget &Budget = Budgets[Service];
+  budget_decision Decision = stateOf(Budget, Fleet, Now);
   std::deque<boot_time> &Unreported = Budget.Unreported;
   while (!Unreported.empty() && Now - Unreported.front() >= Settings.ReportTime)
     Unreported.pop_front();
@@ -112,7 +123,7 @@
     return Decision;
   Decision.Granted = true;
   Unreported.push_back(Now);
-  Current.ExtraAttempts += 1;
+  intervalAt(Budget, Now).ExtraAttempts += 1;
   ++Budget.ExtraAttempts;
   Budget.Changed.fill(true);
   return Decision;
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -88,6 +88,9 @@
   budget_decision tryExtraAttempt(uint32_t Service, const fleet_part &Fleet,
                                   boot_time Now);
 
+  /// The fraction of the budget that is used; one or more if nothing is left.
+  double usedFraction(uint32_t Service, const fleet_part &Fleet, boot_time Now);
+
   /// Charges \p Growth, the increase of a peer's totals.
   void chargePeers(const service_total &Growth, boot_time Now);
 
@@ -116,6 +119,9 @@
     std::array<bool, AudienceCount> Changed{};
   };
 
+  /// What the decision is based on, without the parts of the instances.
+  budget_decision stateOf(budget &Budget, const fleet_part &Fleet,
+                          boot_time Now) const;
   interval &intervalAt(budget &Budget, boot_time Now) const;
   int64_t intervalNumber(boot_time Now) const;
   /// This instance's part of \p Attempts, as a whole number. A fraction counts
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -133,12 +133,6 @@
 
 duration target_set::pauseAfterFailure(const placement_query &Query,
                                        size_t Excluded) const {
-  if (Query.Repeatable &&
-      Query.FailedFraction >= Settings.UrgentProbeFailedFraction)
-    return Settings.UrgentRepeatableProbeDelay;
-  if (Query.Repeatable &&
-      Query.FailedFraction >= Settings.RepeatableProbeFailedFraction)
-    return Settings.RepeatableProbeDelay;
   if (Query.FailedFraction >= Settings.UrgentProbeFailedFraction &&
       Excluded > Settings.UrgentProbeExcluded)
     return Settings.UrgentProbeDelay;
@@ -147,6 +141,15 @@
   return duration::max();
 }
 
+duration target_set::earlyProbeInterval(const placement_query &Query) const {
+  if (!Query.Repeatable || !Query.MayProbeEarly ||
+      Query.FailedFraction < Settings.RepeatableProbeFailedFraction)
+    return duration::max();
+  return Query.FailedFraction < Settings.UrgentProbeFailedFraction
+             ? Settings.RepeatableProbeInterval
+             : Settings.UrgentRepeatableProbeInterval;
+}
+
 std::vector<target_ref> target_set::dueForProbe(const placement_query &Query,
                                                 boot_time Now) const {
   std::vector<target_ref> Due;
@@ -159,8 +162,10 @@
     (IsExcluded ? Excluded : Due).push_back(Target);
   }
   const duration Pause = pauseAfterFailure(Query, Excluded.size());
+  const duration Interval = earlyProbeInterval(Query);
   for (const target_ref &Target : Excluded)
-    if (Now - Target->Fleet.lastFailure() > Pause)
+    if (Now - Target->Fleet.lastFailure() > Pause ||
+        Now - Target->LastUsed > Interval)
       Due.push_back(Target);
   return Due;
 }
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -51,11 +51,12 @@
   double EarlyProbeFailedFraction = 0.07;
   duration EarlyProbeDelay = std::chrono::milliseconds(6000);
   /// The same for repeatable requests, which are sent again if the probe shows
-  /// that the target is still gray.
+  /// that the target is still gray; counted from the last known request to the
+  /// target, since a target that hangs is seen to fail much later.
   double RepeatableProbeFailedFraction = 0.05;
-  duration RepeatableProbeDelay = std::chrono::milliseconds(1500);
+  duration RepeatableProbeInterval = std::chrono::milliseconds(1500);
   /// The same from UrgentProbeFailedFraction on.
-  duration UrgentRepeatableProbeDelay = std::chrono::milliseconds(700);
+  duration UrgentRepeatableProbeInterval = std::chrono::milliseconds(1200);
   /// The same while more than this number of targets is excluded and at least
   /// this fraction of the requests fails.
   size_t UrgentProbeExcluded = 12;
@@ -111,6 +112,8 @@
   double FailedFraction = 0;
   /// Whether this request may probe a target.
   bool MayProbe = true;
+  /// Whether it may probe one that failed a short time ago.
+  bool MayProbeEarly = true;
 };
 
 /// All known targets with their health estimates, and the choice among them.
@@ -190,6 +193,9 @@
   /// to the prior.
   duration pauseAfterFailure(const placement_query &Query,
                              size_t Excluded) const;
+  /// How long after the last request to a target that is probably gray a
+  /// repeatable one probes it; without limit while few requests fail.
+  duration earlyProbeInterval(const placement_query &Query) const;
   std::vector<target_ref> dueForProbe(const placement_query &Query,
                                       boot_time Now) const;
   bool isProbeDue(const target &Target, boot_time Now) const;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -80,7 +80,7 @@
   if (Chosen == nullptr)
     return;
   Service = *Chosen;
-  Gateway.RequestMix.count(Service, repeatable(), Gateway.Loop.now());
+  Gateway.RequestMix.count(Service, mayBeSentAgain(), Gateway.Loop.now());
   Gateway.Fleet->budgets().countRequest(fleet::usageKey(Service),
                                         Gateway.Loop.now());
 }
@@ -154,14 +154,19 @@
   const fleet::service_stats Stats = Gateway.Fleet->budgets().statsOf(
       fleet::usageKey(Service), Gateway.Loop.now());
   Query.FailedFraction = Stats.FailedFraction;
-  // A request that is not repeatable is lost if it probes a gray target, so
-  // that the repeatable ones of the service do, if there are enough.
-  const double RepeatableRate =
-      Stats.Rate * Gateway.RequestMix.repeatableFraction(Service);
-  const bool RepeatablesProbe =
-      RepeatableRate >= Gateway.Settings.Forward.MinProbingRate;
-  Query.ProbingRate = RepeatablesProbe ? RepeatableRate : Stats.Rate;
-  Query.MayProbe = repeatable() || !RepeatablesProbe;
+  const placement::probe_decision Probing = placement::decideProbing(
+      Gateway.Settings.Forward.Probing,
+      {.RequestRate = Stats.Rate,
+       .RepeatableFraction = Gateway.RequestMix.repeatableFraction(Service),
+       .BudgetUsed = Gateway.Fleet->budgets().usedFraction(
+           fleet::usageKey(Service), Gateway.Fleet->reachablePart(),
+           Gateway.Loop.now()),
+       .Repeatable = mayBeSentAgain(),
+       .AttemptsLeft =
+           mayUseAnotherTarget() ? Route->MaxAttempts - SentTo.size() : 0});
+  Query.ProbingRate = Probing.ProbingRate;
+  Query.MayProbe = Probing.MayProbe;
+  Query.MayProbeEarly = Probing.MayProbeEarly;
   std::vector<placement::target_key> Avoid = Unreachable;
   placement::target_ref Chosen;
   if (mayUseAnotherTarget()) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -98,6 +98,8 @@
   bool repeatable() const {
     return Route->Repeatability == routing::repeatability::Repeatable;
   }
+  /// Whether the route allows another attempt after one that failed.
+  bool mayBeSentAgain() const { return repeatable() && Route->MaxAttempts > 1; }
   size_t openAttempts() const;
   duration timeLeft() const { return RespondBy - Gateway.Loop.now(); }
 
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -10,6 +10,7 @@
 #include "Fleet/ReaderDecision.h"
 #include "Fleet/UrgentLimit.h"
 #include "Placement/LossFilter.h"
+#include "Placement/ProbePolicy.h"
 #include "Placement/TargetSet.h"
 
 /// One instance of the proxy: it serves callers, forwards requests to targets,
@@ -34,9 +35,7 @@
   /// The same where gray targets accept requests and never respond, so that
   /// nothing else shows which targets are gray.
   double StalledAtFractionIfHanging = 0.6;
-  /// Repeatable requests alone probe the targets of a service from this many a
-  /// second on, over the fleet.
-  double MinProbingRate = 5;
+  placement::probe_settings Probing;
   /// The connection fails when a target does not acknowledge sent bytes for
   /// this long.
   duration UnacknowledgedTimeout = std::chrono::milliseconds(1500);
--- /dev/null
+++ b/Source/UnitTests/Placement/ProbePolicyTest.cpp
@@ -0,0 +1,39 @@
+#include "Placement/ProbePolicy.h"
+
+#include <doctest/doctest.h>
+
+using namespace magnolia::placement;
+
+TEST_CASE("Which requests probe targets") {
+  const probe_settings Settings;
+  probe_inputs Request;
+  Request.RequestRate = 40;
+  Request.RepeatableFraction = 0.5;
+  Request.Repeatable = true;
+  Request.AttemptsLeft = 2;
+  const auto Decide = [&] { return decideProbing(Settings, Request); };
+
+  SUBCASE("the repeatable ones, if there are enough") {
+    CHECK(Decide().MayProbe);
+    CHECK(Decide().MayProbeEarly);
+    CHECK(Decide().ProbingRate == 20);
+    Request.Repeatable = false;
+    CHECK_FALSE(Decide().MayProbe);
+  }
+  SUBCASE("all, if there are few") {
+    Request.RepeatableFraction = 0.05;
+    Request.Repeatable = false;
+    CHECK(Decide().MayProbe);
+    CHECK_FALSE(Decide().MayProbeEarly);
+    CHECK(Decide().ProbingRate == 40);
+  }
+  SUBCASE("not with the last attempt") {
+    Request.AttemptsLeft = 1;
+    CHECK_FALSE(Decide().MayProbe);
+  }
+  SUBCASE("early only while enough of the budget is left") {
+    Request.BudgetUsed = 0.6;
+    CHECK(Decide().MayProbe);
+    CHECK_FALSE(Decide().MayProbeEarly);
+  }
+}
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -201,6 +201,7 @@
   SUBCASE("one that has failed, when repeatable requests can probe it") {
     for (const char *Id : {"a", "b", "c", "d"})
       Succeed(Id);
+    Targets.find("b")->LastUsed = Now;
     Targets.observe(*Targets.find("b"), evidence::Broken, Now, Now);
     Query.ProbingRate = 40;
     const auto ProbesIn = [&](duration Length) {
@@ -235,6 +236,17 @@
       Query.Repeatable = false;
       CHECK(ProbesIn(seconds(4)) == 0);
     }
+    SUBCASE("as soon when the failure is seen a second after the request") {
+      Now += seconds(1);
+      Targets.observe(*Targets.find("b"), evidence::Stalled, Now - seconds(1),
+                      Now);
+      CHECK(ProbesIn(milliseconds(400)) == 0);
+      CHECK(ProbesIn(milliseconds(1600)) > 0);
+    }
+    SUBCASE("not while the budget is left for other requests") {
+      Query.MayProbeEarly = false;
+      CHECK(ProbesIn(seconds(4)) == 0);
+    }
     SUBCASE("not by a request that leaves probes to others") {
       Query.MayProbe = false;
       CHECK(ProbesIn(seconds(4)) == 0);
