Bounds over the fleet: the division while uses are unreported stands alone

Cause: the bound on extra attempts is divided among the instances for the time in which they do not know of each other's use; a limit that a target names needs the same.

Change: Fleet/UseWindow, used by FleetBudgets. Behaviour is unchanged.

--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -1,13 +1,5 @@
 #include "Fleet/FleetBudgets.h"
 
-#include <algorithm>
-#include <cmath>
-#include <limits>
-
-#include <absl/strings/str_cat.h>
-
-#include "Common/Digest.h"
-
 namespace magnolia::fleet {
 namespace {
 
@@ -67,72 +59,52 @@
   return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0};
 }
 
-double fleet_budgets::ownPart(double Attempts, const fleet_part &Fleet,
-                              uint32_t Service, boot_time Now) const {
-  const double Part =
-      std::max(Attempts, 0.0) / static_cast<double>(Fleet.Instances);
-  const double Whole = std::floor(Part);
-  const int64_t Period = Now.time_since_epoch() / Settings.ReportTime;
-  const auto Drawn = static_cast<double>(
-      common::stableHash(absl::StrCat(Service, "/", Period), Instance));
-  const bool RoundsUp =
-      Drawn < (Part - Whole) *
-                  static_cast<double>(std::numeric_limits<uint64_t>::max());
-  return Whole + (RoundsUp ? 1 : 0);
+double fleet_budgets::requestsAt(const budget &Budget, boot_time Now) const {
+  const int64_t Current = intervalNumber(Now);
+  double Requests = 0;
+  for (const interval &Interval : Budget.Window)
+    if (Interval.Number + static_cast<int64_t>(IntervalCount) > Current)
+      Requests += Interval.Requests;
+  return Requests;
 }
 
-budget_decision fleet_budgets::stateOf(budget &Budget, const fleet_part &Fleet,
-                                       boot_time Now) const {
-  const int64_t Current = intervalNumber(Now);
-  budget_decision State;
-  for (const interval &Interval : Budget.Window) {
-    if (Interval.Number + static_cast<int64_t>(IntervalCount) <= Current)
-      continue;
-    State.Requests += Interval.Requests;
-    State.ExtraAttempts += Interval.ExtraAttempts;
-  }
+double fleet_budgets::boundFor(double Requests, const fleet_part &Fleet,
+                               boot_time Now) const {
   const double AllowedSlack =
       Now - Started < Settings.Window
           ? Settings.Slack * Settings.FirstWindowSlackFraction
           : Settings.Slack;
-  State.Bound = Settings.UsableFraction * (Settings.Ratio * State.Requests +
-                                           AllowedSlack * Fleet.Reachable);
-  return State;
+  return Settings.UsableFraction *
+         (Settings.Ratio * Requests + AllowedSlack * Fleet.Reachable);
 }
 
 double fleet_budgets::usedFraction(uint32_t Service, const fleet_part &Fleet,
                                    boot_time Now) {
-  const budget_decision State = stateOf(Budgets[Service], Fleet, Now);
-  return State.Bound > 0 ? State.ExtraAttempts / State.Bound : 1;
+  const budget &Budget = Budgets[Service];
+  const double Bound = boundFor(requestsAt(Budget, Now), Fleet, Now);
+  return Bound > 0 ? Budget.ExtraAttempts.usedAt(Uses, Now) / Bound : 1;
 }
 
 budget_decision fleet_budgets::tryExtraAttempt(uint32_t Service,
                                                const fleet_part &Fleet,
                                                boot_time Now) {
   budget &Budget = Budgets[Service];
-  budget_decision Decision = stateOf(Budget, Fleet, Now);
-  std::deque<boot_time> &Unreported = Budget.Unreported;
-  while (!Unreported.empty() && Now - Unreported.front() >= Settings.ReportTime)
-    Unreported.pop_front();
-  Decision.Unreported = Unreported.size();
-  const double LeftBefore = Decision.Bound - Decision.ExtraAttempts +
-                            static_cast<double>(Decision.Unreported);
-  Decision.OwnPart = ownPart(LeftBefore, Fleet, Service, Now);
-  if (Decision.ExtraAttempts + 1 > Decision.Bound ||
-      static_cast<double>(Decision.Unreported) + 1 > Decision.OwnPart)
-    return Decision;
-  Decision.Granted = true;
-  Unreported.push_back(Now);
-  intervalAt(Budget, Now).ExtraAttempts += 1;
-  ++Budget.ExtraAttempts;
-  Budget.Changed.fill(true);
-  return Decision;
+  const double Requests = requestsAt(Budget, Now);
+  const use_decision Use = Budget.ExtraAttempts.tryUse(
+      Uses, Service, boundFor(Requests, Fleet, Now), Fleet, Now);
+  if (Use.Granted) {
+    ++Budget.OwnExtraAttempts;
+    Budget.Changed.fill(true);
+  }
+  return {Requests, Use};
 }
 
 void fleet_budgets::chargePeers(const service_total &Growth, boot_time Now) {
-  interval &Interval = intervalAt(Budgets[Growth.Key], Now);
+  budget &Budget = Budgets[Growth.Key];
+  Budget.ExtraAttempts.chargePeers(
+      Uses, static_cast<double>(Growth.ExtraAttempts), Now);
+  interval &Interval = intervalAt(Budget, Now);
   Interval.Requests += static_cast<double>(Growth.Requests);
-  Interval.ExtraAttempts += static_cast<double>(Growth.ExtraAttempts);
   Interval.Failed += static_cast<double>(Growth.Failed);
 }
 
@@ -145,7 +117,7 @@
       continue;
     Changed = false;
     Totals.push_back(
-        {Key, Budget.Requests, Budget.ExtraAttempts, Budget.Failed});
+        {Key, Budget.Requests, Budget.OwnExtraAttempts, Budget.Failed});
   }
   return Totals;
 }
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -2,12 +2,12 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
 
 #include "Fleet/FleetMessage.h"
+#include "Fleet/UseWindow.h"
 
 namespace magnolia::fleet {
 
@@ -40,25 +40,10 @@
 
 /// The result of fleet_budgets::tryExtraAttempt() and what it was decided on.
 struct budget_decision {
-  bool Granted = false;
-  /// Requests and extra attempts of the fleet in the window, as known to this
-  /// instance and before this decision.
+  /// Requests of the fleet in the window, as known to this instance.
   double Requests = 0;
-  double ExtraAttempts = 0;
-  /// The number of extra attempts that these requests allow.
-  double Bound = 0;
-  /// Own extra attempts that peers may not know of yet.
-  size_t Unreported = 0;
-  /// How many of those this instance may have.
-  double OwnPart = 0;
-};
-
-/// The part of the fleet that an instance knows.
-struct fleet_part {
-  /// The fraction of the fleet whose attempts are known here.
-  double Reachable = 1;
-  /// Instances that are reachable, this one included.
-  size_t Instances = 1;
+  /// The extra attempts, and their bound with these requests.
+  use_decision Use;
 };
 
 /// The budget for extra attempts of each service, in a sliding window of the
@@ -74,7 +59,9 @@
   /// \p Instance: a number that differs between the instances.
   explicit fleet_budgets(const budget_settings &Settings, boot_time Started,
                          uint64_t Instance = 0)
-      : Settings(Settings), Started(Started), Instance(Instance) {}
+      : Settings(Settings), Uses{Settings.Window, Settings.ReportTime,
+                                 Instance},
+        Started(Started) {}
 
   void countRequest(uint32_t Service, boot_time Now);
 
@@ -105,34 +92,29 @@
   struct interval {
     int64_t Number = -1;
     double Requests = 0;
-    double ExtraAttempts = 0;
     double Failed = 0;
   };
 
   struct budget {
     std::array<interval, IntervalCount> Window;
-    /// Times of own extra attempts that peers may not know of yet.
-    std::deque<boot_time> Unreported;
+    use_window ExtraAttempts;
     uint64_t Requests = 0;
-    uint64_t ExtraAttempts = 0;
+    uint64_t OwnExtraAttempts = 0;
     uint64_t Failed = 0;
     std::array<bool, AudienceCount> Changed{};
   };
 
-  /// What the decision is based on, without the parts of the instances.
-  budget_decision stateOf(budget &Budget, const fleet_part &Fleet,
-                          boot_time Now) const;
+  /// Requests in the window that ends at \p Now.
+  double requestsAt(const budget &Budget, boot_time Now) const;
+  /// The number of extra attempts that \p Requests allow.
+  double boundFor(double Requests, const fleet_part &Fleet,
+                  boot_time Now) const;
   interval &intervalAt(budget &Budget, boot_time Now) const;
   int64_t intervalNumber(boot_time Now) const;
-  /// This instance's part of \p Attempts, as a whole number. A fraction counts
-  /// as one in as many report times as it says, so that a fleet with more
-  /// instances than attempts uses them too.
-  double ownPart(double Attempts, const fleet_part &Fleet, uint32_t Service,
-                 boot_time Now) const;
 
   const budget_settings Settings;
+  const use_settings Uses;
   const boot_time Started;
-  const uint64_t Instance;
   absl::flat_hash_map<uint32_t, budget> Budgets;
 };
 
--- /dev/null
+++ b/Source/Core/Fleet/UseWindow.cpp
@@ -0,0 +1,83 @@
+#include "Fleet/UseWindow.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include <absl/strings/str_cat.h>
+
+#include "Common/Digest.h"
+
+namespace magnolia::fleet {
+namespace {
+
+/// This instance's part of \p Uses, as a whole number. A fraction counts as one
+/// in as many report times as it says, so that a fleet with more instances than
+/// uses can use them too.
+double ownPart(const use_settings &Settings, uint32_t Key, double Uses,
+               const fleet_part &Fleet, boot_time Now) {
+  const double Part =
+      std::max(Uses, 0.0) / static_cast<double>(Fleet.Instances);
+  const double Whole = std::floor(Part);
+  const int64_t Period = Now.time_since_epoch() / Settings.ReportTime;
+  const auto Drawn = static_cast<double>(
+      common::stableHash(absl::StrCat(Key, "/", Period), Settings.Instance));
+  const bool RoundsUp =
+      Drawn < (Part - Whole) *
+                  static_cast<double>(std::numeric_limits<uint64_t>::max());
+  return Whole + (RoundsUp ? 1 : 0);
+}
+
+} // namespace
+
+int64_t use_window::intervalNumber(const use_settings &Settings,
+                                   boot_time Now) {
+  return Now.time_since_epoch() /
+         (Settings.Window / static_cast<int64_t>(IntervalCount));
+}
+
+use_window::interval &use_window::intervalAt(const use_settings &Settings,
+                                             boot_time Now) {
+  const int64_t Number = intervalNumber(Settings, Now);
+  interval &Interval =
+      Intervals.at(static_cast<size_t>(Number) % IntervalCount);
+  if (Interval.Number != Number)
+    Interval = {Number, 0};
+  return Interval;
+}
+
+double use_window::usedAt(const use_settings &Settings, boot_time Now) const {
+  const int64_t Current = intervalNumber(Settings, Now);
+  double Used = 0;
+  for (const interval &Interval : Intervals)
+    if (Interval.Number + static_cast<int64_t>(IntervalCount) > Current)
+      Used += Interval.Uses;
+  return Used;
+}
+
+void use_window::chargePeers(const use_settings &Settings, double Uses,
+                             boot_time Now) {
+  intervalAt(Settings, Now).Uses += Uses;
+}
+
+use_decision use_window::tryUse(const use_settings &Settings, uint32_t Key,
+                                double Bound, const fleet_part &Fleet,
+                                boot_time Now) {
+  while (!Unreported.empty() && Now - Unreported.front() >= Settings.ReportTime)
+    Unreported.pop_front();
+  use_decision Decision;
+  Decision.Used = usedAt(Settings, Now);
+  Decision.Bound = Bound;
+  Decision.Unreported = Unreported.size();
+  const auto Own = static_cast<double>(Decision.Unreported);
+  Decision.OwnPart =
+      ownPart(Settings, Key, Bound - Decision.Used + Own, Fleet, Now);
+  if (Decision.Used + 1 > Bound || Own + 1 > Decision.OwnPart)
+    return Decision;
+  Decision.Granted = true;
+  intervalAt(Settings, Now).Uses += 1;
+  Unreported.push_back(Now);
+  return Decision;
+}
+
+} // namespace magnolia::fleet
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -388,7 +388,7 @@
                                                Gateway.Fleet->reachablePart(),
                                                Gateway.Loop.now());
   logExtraAttempt({Id, Why, Service, Decision});
-  if (!Decision.Granted) {
+  if (!Decision.Use.Granted) {
     ++Gateway.Counters.ExtraAttemptsRefused;
     return false;
   }
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -39,18 +39,17 @@
 }
 
 void logExtraAttempt(const extra_attempt_record &Line) {
-  const fleet::budget_decision &Decision = Line.Decision;
+  const fleet::use_decision &Use = Line.Decision.Use;
   common::log(log_level::Info, Component,
-              Decision.Granted ? "extra attempt granted"
-                               : "extra attempt refused",
+              Use.Granted ? "extra attempt granted" : "extra attempt refused",
               {{"id", Line.Id},
                {"reason", Line.Reason},
                {"service", Line.Service},
-               {"requests", Decision.Requests},
-               {"extra_attempts", Decision.ExtraAttempts},
-               {"bound", rounded(Decision.Bound)},
-               {"unreported", Decision.Unreported},
-               {"own_part", Decision.OwnPart}});
+               {"requests", Line.Decision.Requests},
+               {"extra_attempts", Use.Used},
+               {"bound", rounded(Use.Bound)},
+               {"unreported", Use.Unreported},
+               {"own_part", Use.OwnPart}});
 }
 
 void logEvidence(std::string_view Id, const placement::target &Target,
--- a/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
@@ -20,7 +20,7 @@
   boot_time Now(seconds(100));
   const auto TakeAll = [&](double ReachableFraction) {
     int Taken = 0;
-    while (Budgets.tryExtraAttempt(7, {ReachableFraction}, Now).Granted)
+    while (Budgets.tryExtraAttempt(7, {ReachableFraction}, Now).Use.Granted)
       ++Taken;
     return Taken;
   };
@@ -49,7 +49,7 @@
   }
   SUBCASE("is kept for each service") {
     CHECK(TakeAll(1) == 20);
-    CHECK(Budgets.tryExtraAttempt(8, {}, Now).Granted);
+    CHECK(Budgets.tryExtraAttempt(8, {}, Now).Use.Granted);
   }
 }
 
@@ -69,7 +69,7 @@
     Fleet[Own].countRequest(7, Now);
     const bool ExtraAttempt =
         Index % 2 == 0 &&
-        Fleet[Own].tryExtraAttempt(7, {1, Fleet.size()}, Now).Granted;
+        Fleet[Own].tryExtraAttempt(7, {1, Fleet.size()}, Now).Use.Granted;
     if (ExtraAttempt)
       ++ExtraAttempts;
     for (size_t Other = 0; Other < Fleet.size(); ++Other)
@@ -148,7 +148,7 @@
 
   void repeat(size_t Own) {
     for (int Count = 0; Count < MaxExtraAttempts; ++Count) {
-      if (!Fleet[Own].tryExtraAttempt(Service, {1, Instances}, Now).Granted)
+      if (!Fleet[Own].tryExtraAttempt(Service, {1, Instances}, Now).Use.Granted)
         return;
       Attempts.push_back(Now);
     }
@@ -227,7 +227,7 @@
     for (int Index = First; Index < End; ++Index) {
       const boot_time Now = Start + milliseconds(Index * 27);
       Instance.countRequest(7, Now);
-      while (Instance.tryExtraAttempt(7, {}, Now).Granted)
+      while (Instance.tryExtraAttempt(7, {}, Now).Use.Granted)
         ++ExtraAttempts;
     }
   };
@@ -240,7 +240,7 @@
   SUBCASE("uses the whole slack again after it") {
     const boot_time Later = Restart + seconds(21);
     int Taken = 0;
-    while (After.tryExtraAttempt(7, {}, Later).Granted)
+    while (After.tryExtraAttempt(7, {}, Later).Use.Granted)
       ++Taken;
     CHECK(Taken == 45);
   }
--- a/Source/UnitTests/Fleet/ProbeBudgetTest.cpp
+++ b/Source/UnitTests/Fleet/ProbeBudgetTest.cpp
@@ -121,7 +121,7 @@
     std::vector<target_key> Tried;
     while (Tried.size() < MaxAttempts) {
       if (!Tried.empty() &&
-          !Budgets.tryExtraAttempt(ServiceKey, {}, Now).Granted)
+          !Budgets.tryExtraAttempt(ServiceKey, {}, Now).Use.Granted)
         break;
       const target_ref Target = choose(Tried);
       Tried.push_back(Target->Key);
