Targets that refuse and say when to come back get nothing until then

What targets and callers saw: a target that refused with 503 and Retry-After got the same instance's next attempts 60 ms later, each of which used up the budget of extra attempts; callers waited for them and were refused without a time that meant anything.

Cause: the header was not read.

Change: Gateway/TargetFeedback reads it, a target is paused for this instance, the refusal is no evidence that it is gray, and while all targets of a service are paused for longer than a request may wait it is refused at once, as not run, with the time of the first. Values that make no sense are a refusal as before. A line "target paused" in the log.

Why it works: the choice leaves out paused targets, whoever asks.

--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -124,9 +124,9 @@
   return Cost;
 }
 
-bool target_set::isUsable(const target &Target,
-                          const placement_query &Query) const {
-  return !Target.Entry.Draining &&
+bool target_set::isUsable(const target &Target, const placement_query &Query,
+                          boot_time Now) {
+  return !Target.Entry.Draining && Now >= Target.PausedUntil &&
          std::find(Query.Tried.begin(), Query.Tried.end(), Target.Key) ==
              Query.Tried.end();
 }
@@ -155,7 +155,7 @@
   std::vector<target_ref> Due;
   std::vector<target_ref> Excluded;
   for (const target_ref &Target : targetsOf(Query.Service)) {
-    if (!isUsable(*Target, Query) || !isProbeDue(*Target, Now))
+    if (!isUsable(*Target, Query, Now) || !isProbeDue(*Target, Now))
       continue;
     const bool IsExcluded =
         Target->Fleet.probabilityAt(Now) >= Settings.MaxProbeRisk;
@@ -231,7 +231,7 @@
   std::vector<candidate> Candidates;
   double LowestCost = std::numeric_limits<double>::max();
   for (const target_ref &Target : targetsOf(Query.Service)) {
-    if (!isUsable(*Target, Query))
+    if (!isUsable(*Target, Query, Now))
       continue;
     const double Cost = costOf(*Target, Query, Now);
     Candidates.push_back({&Target, Cost});
@@ -255,6 +255,23 @@
   return *Candidates.back().Target;
 }
 
+void target_set::pause(target &Target, duration Pause, boot_time Now) {
+  Target.PausedUntil = std::max(Target.PausedUntil, Now + Pause);
+}
+
+std::optional<boot_time> target_set::pausedUntil(std::string_view Service,
+                                                 boot_time Now) const {
+  std::optional<boot_time> First;
+  for (const target_ref &Target : targetsOf(Service)) {
+    if (Target->Entry.Draining)
+      continue;
+    if (Target->PausedUntil <= Now)
+      return std::nullopt;
+    First = std::min(First.value_or(Target->PausedUntil), Target->PausedUntil);
+  }
+  return First;
+}
+
 void target_set::observe(target &Target, evidence Evidence, boot_time SentAt,
                          boot_time Now) {
   // A failed connection or a missing response may be caused by the network path
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -90,6 +91,8 @@
   /// Idle connections of this instance.
   uint32_t IdleConnections = 0;
   bool Removed = false;
+  /// It asked this instance not to send requests before this time.
+  boot_time PausedUntil;
 
   struct peer_count {
     uint32_t InFlight = 0;
@@ -136,6 +139,16 @@
   target_ref choose(const placement_query &Query, boot_time Now,
                     absl::BitGenRef Random) const;
 
+  /// When the first target of \p Service that could be used otherwise takes
+  /// requests of this instance again; none if there is no such target, or one
+  /// that takes requests now.
+  std::optional<boot_time> pausedUntil(std::string_view Service,
+                                       boot_time Now) const;
+
+  /// Records that \p Target wants no requests of this instance for \p Pause.
+  /// A shorter pause does not end a longer one.
+  static void pause(target &Target, duration Pause, boot_time Now);
+
   /// Records evidence from an attempt of this instance.
   void observe(target &Target, evidence Evidence, boot_time SentAt,
                boot_time Now);
@@ -187,7 +200,8 @@
                 boot_time Now) const;
 
 private:
-  bool isUsable(const target &Target, const placement_query &Query) const;
+  static bool isUsable(const target &Target, const placement_query &Query,
+                       boot_time Now);
   /// How long a target that is probably gray is excluded after its last
   /// failure; without limit while few requests fail, since the estimate decays
   /// to the prior.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -206,16 +206,20 @@
   waitForTarget();
 }
 
+boot_time exchange::waitsUntil() const {
+  return Call->Arrived + Gateway.Settings.Forward.MaxTargetWait;
+}
+
+bool exchange::allTargetsArePaused() const {
+  const boot_time Now = Gateway.Loop.now();
+  return Gateway.TargetSet.pausedUntil(Service, Now).value_or(Now) >
+         waitsUntil();
+}
+
 void exchange::waitForTarget() {
-  const duration Waited = Gateway.Loop.now() - Call->Arrived;
-  const bool WorthWaiting = Waited < Gateway.Settings.Forward.MaxTargetWait;
-  if (!WorthWaiting) {
-    if (TargetError)
-      forwardResponse(std::move(*TargetError));
-    else
-      refuse(MayHaveRun ? error_kind::TargetBroken
-                        : error_kind::NoTargetAvailable,
-             "no target takes requests");
+  const boot_time Now = Gateway.Loop.now();
+  if (Now >= waitsUntil() || allTargetsArePaused()) {
+    giveUp(error_kind::NoTargetAvailable, "no target takes requests");
     return;
   }
   Unreachable.clear();
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -57,6 +57,10 @@
   placement::target_ref chooseTarget();
   bool hasUntriedTarget() const;
   void waitForTarget();
+  /// How long it waits until a target is available.
+  boot_time waitsUntil() const;
+  /// Whether all targets of the service are paused for longer than that.
+  bool allTargetsArePaused() const;
   void startAttempt(const placement::target_ref &Target);
   void logAttempt(const attempt &Attempt, bool KeptConnection) const;
   void logOutcome(std::string_view Outcome, int Status,
@@ -77,6 +81,9 @@
   void onResponse(const attempt_ref &Attempt, message::response Response);
   void onFailure(const attempt_ref &Attempt, message::exchange_failure Failure);
   void onNotRun(const attempt_ref &Attempt);
+  void pauseTarget(const attempt &Attempt, duration Pause);
+  /// Responds when no target takes the request; \p Kind if none has run it.
+  void giveUp(common::error_kind Kind, std::string_view Detail);
   /// Delay before a target that refused the request is tried again.
   duration refusalBackoff() const;
   /// Whether the response is a 504 for the deadline that was sent to the
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -6,6 +6,7 @@
 #include "Common/StringView.h"
 #include "Gateway/Exchange.h"
 #include "Gateway/RequestLog.h"
+#include "Gateway/TargetFeedback.h"
 
 namespace magnolia::gateway {
 
@@ -76,7 +77,13 @@
     Attempt->Connection->keepWaiting();
     return;
   }
+  const target_feedback Feedback = feedbackOf(Response);
+  if (Feedback.Pause)
+    pauseTarget(*Attempt, *Feedback.Pause);
   if (NotRun) {
+    // What a target says when to come back is not a sign that it is gray.
+    if (!Feedback.Pause)
+      observe(*Attempt, evidence::Refused);
     onNotRun(Attempt);
     return;
   }
@@ -122,21 +129,22 @@
     tryNext();
 }
 
+void exchange::pauseTarget(const attempt &Attempt, duration Pause) {
+  placement::target_set::pause(*Attempt.Target, Pause, Gateway.Loop.now());
+  logTargetPause(Id, *Attempt.Target, Pause);
+}
+
 void exchange::onNotRun(const attempt_ref &Attempt) {
-  observe(*Attempt, evidence::Refused);
   RefusedBy.push_back(Attempt->Target->Key);
   endAttempt(Attempt, true);
   MayHaveRun = RefusedBy.size() < SentTo.size();
   if (openAttempts() > 0)
     return;
-  const bool MayRepeat =
-      RefusedBy.size() < MaxRefusals && tryExtraAttempt("after_refusal");
+  const bool MayRepeat = RefusedBy.size() < MaxRefusals &&
+                         !allTargetsArePaused() &&
+                         tryExtraAttempt("after_refusal");
   if (!MayRepeat) {
-    if (TargetError)
-      forwardResponse(std::move(*TargetError));
-    else
-      refuse(MayHaveRun ? error_kind::TargetBroken : error_kind::TargetRefused,
-             "targets refuse requests");
+    giveUp(error_kind::TargetRefused, "targets refuse requests");
     return;
   }
   if (mayUseAnotherTarget() && hasUntriedTarget()) {
@@ -147,11 +155,23 @@
       refusalBackoff(), [Self = shared_from_this()] { Self->tryNext(); });
 }
 
+void exchange::giveUp(error_kind Kind, std::string_view Detail) {
+  if (TargetError) {
+    forwardResponse(std::move(*TargetError));
+    return;
+  }
+  const boot_time Now = Gateway.Loop.now();
+  const auto Until = Gateway.TargetSet.pausedUntil(Service, Now);
+  refuse(MayHaveRun ? error_kind::TargetBroken : Kind, Detail,
+         Until ? std::optional<duration>(*Until - Now) : std::nullopt);
+}
+
 bool exchange::hasUntriedTarget() const {
   const auto &Targets = Gateway.TargetSet.targetsOf(Service);
   return std::any_of(Targets.begin(), Targets.end(),
                      [&](const placement::target_ref &Target) {
                        return !Target->Entry.Draining &&
+                              Gateway.Loop.now() >= Target->PausedUntil &&
                               std::find(SentTo.begin(), SentTo.end(),
                                         Target->Key) == SentTo.end();
                      });
--- a/Source/Gateway/HeaderNames.h
+++ b/Source/Gateway/HeaderNames.h
@@ -19,6 +19,10 @@
   std::string ExpectTarget;
   /// Set by a target that did not run the request.
   std::string NotRun;
+  /// Set to "1" by a target that is draining, in all its responses.
+  std::string Draining;
+  /// Requests per second that a target takes from the whole fleet.
+  std::string RateLimit;
   /// API key of a caller.
   std::string Key;
 };
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -68,6 +68,13 @@
                {"path_risk_after", rounded(Target.Path.probabilityAt(Now))}});
 }
 
+void logTargetPause(std::string_view Id, const placement::target &Target,
+                    duration Pause) {
+  common::log(
+      log_level::Info, Component, "target paused",
+      {{"id", Id}, {"target", Target.Entry.Id}, {"pause_ms", millis(Pause)}});
+}
+
 void logRequestOutcome(const outcome_record &Line) {
   const bool Good =
       Line.Outcome == "answered" && Line.Status < FirstServerError;
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -34,6 +34,10 @@
 void logEvidence(std::string_view Id, const placement::target &Target,
                  placement::evidence Evidence, duration Age, boot_time Now);
 
+/// Logs that \p Target wants no requests of this instance for \p Pause.
+void logTargetPause(std::string_view Id, const placement::target &Target,
+                    duration Pause);
+
 /// The outcome of a request.
 struct outcome_record {
   std::string_view Id;
--- /dev/null
+++ b/Source/Gateway/TargetFeedback.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <optional>
+
+#include "Gateway/HeaderNames.h"
+#include "Net/Message/Message.h"
+#include "Placement/TargetEntry.h"
+
+namespace magnolia::gateway {
+
+using placement::duration;
+
+/// What a target says of itself in a response, besides responding.
+struct target_feedback {
+  /// It refused and wants no request of this instance for this long.
+  std::optional<duration> Pause;
+};
+
+/// Values that make no sense count as not said. Never fails.
+target_feedback feedbackOf(const message::response &Response);
+
+} // namespace magnolia::gateway
