Targets that say in their responses that they are leaving get no more requests

What targets and callers saw: a target that announced its exit in its responses got requests until its entry in the store said so, or until it was gone; those in flight at its exit were lost.

Cause: the header was not read, and nothing told the other instances. The class is that of the refusals with a time: what a target says of itself was passed on to the caller and not heard.

Change: the first response that says so marks the target as draining, peers hear of it as urgent news in the same events as evidence, and a new incarnation starts afresh. Only "1" counts.

Why it works: the choice, the waiting and the pool of connections ask the same function for both sources.

--- a/Source/Core/Placement/GrayEstimator.cpp
+++ b/Source/Core/Placement/GrayEstimator.cpp
@@ -15,9 +15,9 @@
 
 // In the order of evidence.
 constexpr std::array<std::string_view, static_cast<size_t>(evidence::Count)>
-    Names = {"succeeded",   "accepted",  "broken",
-             "failed",      "refused",   "stalled",
-             "unreachable", "timed_out", "succeeded_late"};
+    Names = {"succeeded",      "accepted", "broken",      "failed",
+             "refused",        "stalled",  "unreachable", "timed_out",
+             "succeeded_late", "draining"};
 
 // In the order of evidence. Healthy targets fail about one request in a
 // hundred, and refuse or are slow more often than that under load. Gray ones
@@ -33,6 +33,7 @@
         {0.80, 0.01},  // Unreachable
         {1.00, 1.00},  // TimedOut, not used
         {0.40, 0.97},  // SucceededLate
+        {1.00, 1.00},  // Draining, not used
     }};
 
 // The same where gray targets accept requests and never respond; what follows
@@ -48,6 +49,7 @@
         {0.80, 0.01},  // Unreachable
         {0.95, 0.25},  // TimedOut
         {1.00, 1.00},  // SucceededLate, not used
+        {1.00, 1.00},  // Draining, not used
     }};
 /// Fraction of its requests to which a hanging target never responds.
 constexpr double HangingFraction = 0.75;
--- a/Source/Core/Placement/GrayEstimator.h
+++ b/Source/Core/Placement/GrayEstimator.h
@@ -32,6 +32,8 @@
   TimedOut,
   /// A complete response without an error to a request that had stalled.
   SucceededLate,
+  /// It said that it is draining. No evidence that it is gray.
+  Draining,
   Count
 };
 
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -126,7 +126,7 @@
 
 bool target_set::isUsable(const target &Target, const placement_query &Query,
                           boot_time Now) {
-  return !Target.Entry.Draining && Now >= Target.PausedUntil &&
+  return !Target.isDraining() && Now >= Target.PausedUntil &&
          std::find(Query.Tried.begin(), Query.Tried.end(), Target.Key) ==
              Query.Tried.end();
 }
@@ -263,7 +263,7 @@
                                                  boot_time Now) const {
   std::optional<boot_time> First;
   for (const target_ref &Target : targetsOf(Service)) {
-    if (Target->Entry.Draining)
+    if (Target->isDraining())
       continue;
     if (Target->PausedUntil <= Now)
       return std::nullopt;
@@ -274,6 +274,10 @@
 
 void target_set::observe(target &Target, evidence Evidence, boot_time SentAt,
                          boot_time Now) {
+  if (Evidence == evidence::Draining) {
+    Target.SaidDraining = true;
+    return;
+  }
   // A failed connection or a missing response may be caused by the network path
   // alone.
   if (Evidence != evidence::Unreachable)
@@ -294,6 +298,10 @@
   if (Found == ByKey.end() || Evidence == evidence::Unreachable)
     return;
   target &Target = *Found->second;
+  if (Evidence == evidence::Draining) {
+    Target.SaidDraining = true;
+    return;
+  }
   Target.LastUsed = std::max(Target.LastUsed, SentAt);
   Target.Fleet.observe(Evidence, SentAt, Now);
 }
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -91,6 +91,8 @@
   /// Idle connections of this instance.
   uint32_t IdleConnections = 0;
   bool Removed = false;
+  /// It said so in a response, to this instance or to a peer.
+  bool SaidDraining = false;
   /// It asked this instance not to send requests before this time.
   boot_time PausedUntil;
 
@@ -99,6 +101,10 @@
     boot_time ReportedAt;
   };
   absl::flat_hash_map<uint64_t, peer_count> Peers;
+
+  /// Whether it gets no more requests, by its entry or by its responses. Its
+  /// next incarnation is another target.
+  bool isDraining() const { return Entry.Draining || SaidDraining; }
 };
 
 using target_ref = std::shared_ptr<target>;
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -77,7 +77,9 @@
     Attempt->Connection->keepWaiting();
     return;
   }
-  const target_feedback Feedback = feedbackOf(Response);
+  const target_feedback Feedback = feedbackOf(Response, HeaderNames);
+  if (Feedback.Draining)
+    Gateway.onTargetDraining(Id, *Attempt->Target);
   if (Feedback.Pause)
     pauseTarget(*Attempt, *Feedback.Pause);
   if (NotRun) {
@@ -170,7 +172,7 @@
   const auto &Targets = Gateway.TargetSet.targetsOf(Service);
   return std::any_of(Targets.begin(), Targets.end(),
                      [&](const placement::target_ref &Target) {
-                       return !Target->Entry.Draining &&
+                       return !Target->isDraining() &&
                               Gateway.Loop.now() >= Target->PausedUntil &&
                               std::find(SentTo.begin(), SentTo.end(),
                                         Target->Key) == SentTo.end();
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -99,7 +99,7 @@
     placement::target_key Target = 0;
     placement::evidence Evidence = placement::evidence::Succeeded;
     boot_time SentAt;
-    bool IsFailure = false;
+    bool IsUrgent = false;
     /// Number of messages that carried it.
     int SentCount = 0;
   };
--- a/Source/Gateway/FleetAgentUpdates.cpp
+++ b/Source/Gateway/FleetAgentUpdates.cpp
@@ -15,8 +15,8 @@
 using placement::evidence;
 
 constexpr audience Audiences[] = {audience::SameDomain, audience::OtherDomains};
-/// Number of messages that carry a failure event, since one may be lost.
-constexpr int FailureEventRepeats = 2;
+/// Number of messages that carry an urgent event, since one may be lost.
+constexpr int UrgentEventRepeats = 2;
 /// Batches failures that occur together, such as many connections lost at once.
 constexpr std::chrono::milliseconds UrgentDelay{3};
 constexpr std::chrono::milliseconds MaxEventAge{3000};
@@ -31,19 +31,20 @@
 /// Encoded size of a bundled message beyond its bytes and its origin.
 constexpr size_t BundledOverhead = 4;
 
-bool isFailure(evidence Evidence) {
+/// Whether peers must know of it at once, even if a message is lost.
+bool isUrgent(evidence Evidence) {
   return Evidence == evidence::Broken || Evidence == evidence::Failed ||
-         Evidence == evidence::Stalled;
+         Evidence == evidence::Stalled || Evidence == evidence::Draining;
 }
 
 } // namespace
 
 void fleet_agent::report(const placement::target &Target, evidence Evidence,
                          boot_time SentAt, bool IsNews) {
-  const bool IsFailure = isFailure(Evidence);
+  const bool IsUrgent = isUrgent(Evidence);
   for (audience_state &State : AudienceStates)
-    State.Events.push_back({Target.Key, Evidence, SentAt, IsFailure, 0});
-  if (IsFailure && IsNews)
+    State.Events.push_back({Target.Key, Evidence, SentAt, IsUrgent, 0});
+  if (IsUrgent && IsNews)
     sendUrgentEvents();
 }
 
@@ -108,7 +109,7 @@
   // Events are numbered consecutively from FirstEvent on, so only the oldest
   // can be removed: each as soon as it and all earlier ones are done.
   const auto IsDone = [Now](const pending_event &Event) {
-    return Event.SentCount >= (Event.IsFailure ? FailureEventRepeats : 1) ||
+    return Event.SentCount >= (Event.IsUrgent ? UrgentEventRepeats : 1) ||
            Now - Event.SentAt > MaxEventAge;
   };
   while (!State.Events.empty() && IsDone(State.Events.front())) {
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -285,6 +285,17 @@
   logEvidence(RequestId, Target, Evidence, Now - SentAt, Now);
 }
 
+void gateway::onTargetDraining(std::string_view RequestId,
+                               placement::target &Target) {
+  if (Target.isDraining())
+    return;
+  const boot_time Now = Loop.now();
+  TargetSet.observe(Target, placement::evidence::Draining, Now, Now);
+  Fleet->report(Target, placement::evidence::Draining, Now, true);
+  common::log(log_level::Info, Component, "target says it is draining",
+              {{"id", RequestId}, {"target", Target.Entry.Id}});
+}
+
 void gateway::onConnectionLost(placement::lost_connection Lost) {
   common::log(log_level::Info, Component, "target connection lost",
               {{"id", Lost.RequestId}, {"target", Lost.Target->Entry.Id}});
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -111,6 +111,8 @@
   /// Records evidence of a request sent to \p Target and reports it to peers.
   void observe(std::string_view RequestId, placement::target &Target,
                placement::evidence Evidence, boot_time SentAt);
+  /// Records that \p Target said in a response that it is draining.
+  void onTargetDraining(std::string_view RequestId, placement::target &Target);
   /// Records a connection that was lost before a complete response. For a few
   /// milliseconds it counts only against the path to the target; then it counts
   /// against the target as well, unless many others were lost with it.
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -55,7 +55,7 @@
   double Suspected = 0;
   double Draining = 0;
   TargetSet.forEach([&](const placement::target &Target) {
-    if (Target.Entry.Draining)
+    if (Target.isDraining())
       ++Draining;
     else if (Target.Fleet.probabilityAt(Loop.now()) > SuspectedFrom)
       ++Suspected;
--- a/Source/Gateway/TargetFeedback.cpp
+++ b/Source/Gateway/TargetFeedback.cpp
@@ -37,8 +37,9 @@
 
 } // namespace
 
-target_feedback feedbackOf(const message::response &Response) {
-  return {pauseOf(Response)};
+target_feedback feedbackOf(const message::response &Response,
+                           const header_names &Names) {
+  return {Response.Headers.find(Names.Draining) == "1", pauseOf(Response)};
 }
 
 } // namespace magnolia::gateway
--- a/Source/Gateway/TargetFeedback.h
+++ b/Source/Gateway/TargetFeedback.h
@@ -12,11 +12,13 @@
 
 /// What a target says of itself in a response, besides responding.
 struct target_feedback {
+  bool Draining = false;
   /// It refused and wants no request of this instance for this long.
   std::optional<duration> Pause;
 };
 
 /// Values that make no sense count as not said. Never fails.
-target_feedback feedbackOf(const message::response &Response);
+target_feedback feedbackOf(const message::response &Response,
+                           const header_names &Names);
 
 } // namespace magnolia::gateway
