--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -80,6 +80,7 @@
   const target_feedback Feedback = feedbackOf(Response, HeaderNames);
   if (Feedback.Draining)
     Gateway.onTargetDraining(Id, *Attempt->Target);
+  Gateway.onTargetLimit(*Attempt->Target, Feedback.LimitPerSecond);
   if (Feedback.Pause)
     pauseTarget(*Attempt, *Feedback.Pause);
   if (NotRun) {
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -11,6 +11,7 @@
 #include "Fleet/FleetBuckets.h"
 #include "Fleet/FleetBudgets.h"
 #include "Fleet/PeerView.h"
+#include "Fleet/TargetLimits.h"
 #include "Fleet/UrgentLimit.h"
 #include "Gateway/Settings.h"
 #include "Gateway/Store.h"
@@ -81,6 +82,7 @@
 
   fleet::fleet_buckets &buckets() { return Buckets; }
   fleet::fleet_budgets &budgets() { return Budgets; }
+  fleet::target_limits &limits() { return Limits; }
   const fleet::peer_view &peers() const { return *Peers; }
   const peer_traffic &traffic() const { return Traffic; }
   double reachableFraction() const {
@@ -160,6 +162,7 @@
   std::unique_ptr<fleet::peer_view> Peers;
   fleet::fleet_buckets Buckets;
   fleet::fleet_budgets Budgets;
+  fleet::target_limits Limits;
   std::array<audience_state, fleet::AudienceCount> AudienceStates;
   /// Number of the last update of this instance.
   uint64_t LastUpdate = 0;
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -296,6 +296,12 @@
               {{"id", RequestId}, {"target", Target.Entry.Id}});
 }
 
+void gateway::onTargetLimit(const placement::target &Target,
+                            std::optional<double> PerSecond) {
+  if (Fleet->limits().state(Target.Key, PerSecond, Loop.now()))
+    logTargetLimit(Target, PerSecond, limit_source::Target);
+}
+
 void gateway::onConnectionLost(placement::lost_connection Lost) {
   common::log(log_level::Info, Component, "target connection lost",
               {{"id", Lost.RequestId}, {"target", Lost.Target->Entry.Id}});
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -113,6 +113,10 @@
                placement::evidence Evidence, boot_time SentAt);
   /// Records that \p Target said in a response that it is draining.
   void onTargetDraining(std::string_view RequestId, placement::target &Target);
+  /// Records the limit that \p Target named in a response, or that it named
+  /// none.
+  void onTargetLimit(const placement::target &Target,
+                     std::optional<double> PerSecond);
   /// Records a connection that was lost before a complete response. For a few
   /// milliseconds it counts only against the path to the target; then it counts
   /// against the target as well, unless many others were lost with it.
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -65,6 +65,9 @@
   add(Samples, "magnolia_targets_hang",
       "Whether gray targets are believed to accept requests and not respond.",
       TargetSet.targetsHang() ? 1 : 0);
+  add(Samples, "magnolia_targets_limited",
+      "Targets that name a limit of their requests.",
+      static_cast<double>(Fleet->limits().limitedCount()));
   constexpr std::string_view Name = "magnolia_targets";
   constexpr std::string_view Help = "Targets by state.";
   Samples.push_back({Name, Help, {{"state", "sound"}}, Healthy});
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -75,6 +75,15 @@
       {{"id", Id}, {"target", Target.Entry.Id}, {"pause_ms", millis(Pause)}});
 }
 
+void logTargetLimit(const placement::target &Target,
+                    std::optional<double> PerSecond, limit_source Source) {
+  common::log(log_level::Info, Component,
+              PerSecond ? "target limit" : "target without limit",
+              {{"target", Target.Entry.Id},
+               {"per_second", PerSecond.value_or(0)},
+               {"from", Source == limit_source::Target ? "target" : "peer"}});
+}
+
 void logRequestOutcome(const outcome_record &Line) {
   const bool Good =
       Line.Outcome == "answered" && Line.Status < FirstServerError;
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -38,6 +38,12 @@
 void logTargetPause(std::string_view Id, const placement::target &Target,
                     duration Pause);
 
+/// Who told this instance of the limit of a target.
+enum class limit_source : uint8_t { Target, Peer };
+/// Logs a changed limit in requests per second; none: the target has none.
+void logTargetLimit(const placement::target &Target,
+                    std::optional<double> PerSecond, limit_source Source);
+
 /// The outcome of a request.
 struct outcome_record {
   std::string_view Id;
--- a/Source/Gateway/TargetFeedback.cpp
+++ b/Source/Gateway/TargetFeedback.cpp
@@ -39,7 +39,8 @@
 
 target_feedback feedbackOf(const message::response &Response,
                            const header_names &Names) {
-  return {Response.Headers.find(Names.Draining) == "1", pauseOf(Response)};
+  return {Response.Headers.find(Names.Draining) == "1", pauseOf(Response),
+          numberOf(Response, Names.RateLimit)};
 }
 
 } // namespace magnolia::gateway
--- a/Source/Gateway/TargetFeedback.h
+++ b/Source/Gateway/TargetFeedback.h
@@ -15,6 +15,9 @@
   bool Draining = false;
   /// It refused and wants no request of this instance for this long.
   std::optional<duration> Pause;
+  /// Requests per second that it takes from the whole fleet; none if it did not
+  /// name a limit.
+  std::optional<double> LimitPerSecond;
 };
 
 /// Values that make no sense count as not said. Never fails.
