Early probes cost a part of the budget; a target that responds to a probe is probed again soon

Cause: early probes were either as many as were due or none. And a target that has recovered needs several responses to be believed, each 1.2 s after the last.

Change: early probes are a rate over the fleet, a quarter of the budget, until nine tenths of it are used; a target whose last probe succeeded is due again after 0.3 s.

--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -78,11 +78,15 @@
          (Settings.Ratio * Requests + AllowedSlack * Fleet.Reachable);
 }
 
-double fleet_budgets::usedFraction(uint32_t Service, const fleet_part &Fleet,
-                                   boot_time Now) {
+fleet_budgets::budget_state fleet_budgets::stateOf(uint32_t Service,
+                                                   const fleet_part &Fleet,
+                                                   boot_time Now) {
   const budget &Budget = Budgets[Service];
   const double Bound = boundFor(requestsAt(Budget, Now), Fleet, Now);
-  return Bound > 0 ? Budget.ExtraAttempts.usedAt(Uses, Now) / Bound : 1;
+  if (Bound <= 0)
+    return {};
+  const double Seconds = std::chrono::duration<double>(Settings.Window).count();
+  return {Bound / Seconds, Budget.ExtraAttempts.usedAt(Uses, Now) / Bound};
 }
 
 budget_decision fleet_budgets::tryExtraAttempt(uint32_t Service,
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -75,8 +75,15 @@
   budget_decision tryExtraAttempt(uint32_t Service, const fleet_part &Fleet,
                                   boot_time Now);
 
-  /// The fraction of the budget that is used; one or more if nothing is left.
-  double usedFraction(uint32_t Service, const fleet_part &Fleet, boot_time Now);
+  /// How much of the budget of a service is used.
+  struct budget_state {
+    /// Extra attempts per second that the budget allows over the fleet.
+    double PerSecond = 0;
+    /// One or more if nothing is left.
+    double UsedFraction = 1;
+  };
+  budget_state stateOf(uint32_t Service, const fleet_part &Fleet,
+                       boot_time Now);
 
   /// Charges \p Growth, the increase of a peer's totals.
   void chargePeers(const service_total &Growth, boot_time Now);
--- a/Source/Core/Placement/ProbePolicy.cpp
+++ b/Source/Core/Placement/ProbePolicy.cpp
@@ -10,8 +10,9 @@
   Decision.ProbingRate = RepeatablesProbe ? RepeatableRate : Inputs.RequestRate;
   Decision.MayProbe =
       Inputs.Repeatable ? Inputs.AttemptsLeft > 1 : !RepeatablesProbe;
-  Decision.MayProbeEarly =
-      Inputs.Repeatable && Inputs.BudgetUsed < Settings.MaxBudgetUsed;
+  if (Inputs.Repeatable && Inputs.BudgetUsed < Settings.MaxBudgetUsed)
+    Decision.EarlyProbeRate =
+        Settings.EarlyBudgetFraction * Inputs.BudgetPerSecond;
   return Decision;
 }
 
--- a/Source/Core/Placement/ProbePolicy.h
+++ b/Source/Core/Placement/ProbePolicy.h
@@ -9,9 +9,11 @@
   /// Repeatable requests alone probe the targets of a service from this many a
   /// second on, over the fleet.
   double MinRepeatableRate = 5;
-  /// They probe early while less than this fraction of the budget for extra
-  /// attempts is used; the rest is left for requests that fail otherwise.
-  double MaxBudgetUsed = 0.5;
+  /// Fraction of the budget for extra attempts that early probes may cost; the
+  /// rest is left for requests that fail otherwise.
+  double EarlyBudgetFraction = 0.25;
+  /// Nothing is probed early from this used fraction of the budget on.
+  double MaxBudgetUsed = 0.9;
 };
 
 /// What is known when a target is chosen for a request.
@@ -20,7 +22,9 @@
   /// them that can be sent again after a failure.
   double RequestRate = 0;
   double RepeatableFraction = 0;
-  /// Used fraction of the service's budget for extra attempts.
+  /// The service's budget for extra attempts, per second, and the used fraction
+  /// of it.
+  double BudgetPerSecond = 0;
   double BudgetUsed = 0;
   /// Whether this request is one of those, and the number of targets that it
   /// may still be sent to.
@@ -33,14 +37,15 @@
   double ProbingRate = 0;
   /// Whether this request may probe a target.
   bool MayProbe = false;
-  /// Whether it may probe one that failed a short time ago.
-  bool MayProbeEarly = false;
+  /// Probes per second over the fleet of targets that failed a short time ago;
+  /// zero if this request may not send one.
+  double EarlyProbeRate = 0;
 };
 
 /// Decides whether a request may probe. A probe that meets a gray target costs
 /// an extra attempt, or the request if it cannot be sent again: so repeatable
 /// requests probe, where a service has enough of them, with their first attempt
-/// and while enough of the budget is left. Load pattern: instances lose their
+/// and within a part of the budget. Load pattern: instances lose their
 /// paths to a third of all targets, and probes of these targets leave nothing
 /// of the budget for the requests that fail without having probed.
 probe_decision decideProbing(const probe_settings &Settings,
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -142,7 +142,7 @@
 }
 
 duration target_set::earlyProbeInterval(const placement_query &Query) const {
-  if (!Query.Repeatable || !Query.MayProbeEarly ||
+  if (!Query.Repeatable || Query.EarlyProbeRate <= 0 ||
       Query.FailedFraction < Settings.RepeatableProbeFailedFraction)
     return duration::max();
   return Query.FailedFraction < Settings.UrgentProbeFailedFraction
@@ -150,26 +150,40 @@
              : Settings.UrgentRepeatableProbeInterval;
 }
 
-std::vector<target_ref> target_set::dueForProbe(const placement_query &Query,
+target_set::due_targets target_set::dueForProbe(const placement_query &Query,
                                                 boot_time Now) const {
-  std::vector<target_ref> Due;
+  due_targets Due;
   std::vector<target_ref> Excluded;
+  const duration Interval = earlyProbeInterval(Query);
   for (const target_ref &Target : targetsOf(Query.Service)) {
-    if (!isUsable(*Target, Query, Now) || !isProbeDue(*Target, Now))
+    if (!isUsable(*Target, Query, Now))
+      continue;
+    if (Interval != duration::max() && isRecovering(*Target, Now)) {
+      Due.Regular.push_back(Target);
+      continue;
+    }
+    if (!isProbeDue(*Target, Now))
       continue;
     const bool IsExcluded =
         Target->Fleet.probabilityAt(Now) >= Settings.MaxProbeRisk;
-    (IsExcluded ? Excluded : Due).push_back(Target);
+    (IsExcluded ? Excluded : Due.Regular).push_back(Target);
   }
   const duration Pause = pauseAfterFailure(Query, Excluded.size());
-  const duration Interval = earlyProbeInterval(Query);
-  for (const target_ref &Target : Excluded)
-    if (Now - Target->Fleet.lastFailure() > Pause ||
-        Now - Target->LastUsed > Interval)
-      Due.push_back(Target);
+  for (const target_ref &Target : Excluded) {
+    if (Now - Target->Fleet.lastFailure() > Pause)
+      Due.Regular.push_back(Target);
+    else if (Now - Target->LastUsed > Interval)
+      Due.Early.push_back(Target);
+  }
   return Due;
 }
 
+bool target_set::isRecovering(const target &Target, boot_time Now) const {
+  return Target.Fleet.lastPositive() > Target.Fleet.lastFailure() &&
+         Target.Fleet.probabilityAt(Now) >= Settings.MaxProbeRisk &&
+         Now - Target.LastUsed > Settings.RecoveringProbeInterval;
+}
+
 bool target_set::isProbeDue(const target &Target, boot_time Now) const {
   const bool SameDomain = Target.Entry.FailureDomain == FailureDomain;
   return Now - Target.LastUsed > (SameDomain
@@ -196,19 +210,22 @@
                                     absl::BitGenRef Random) const {
   if (!Query.MayProbe || Query.ProbingRate <= 0)
     return nullptr;
-  const std::vector<target_ref> Due = dueForProbe(Query, Now);
-  if (Due.empty())
-    return nullptr;
+  const due_targets Due = dueForProbe(Query, Now);
+  const double EarlyRate =
+      std::min(wantedProbeRate(Due.Early), Query.EarlyProbeRate);
+  const double WantedRate = EarlyRate + wantedProbeRate(Due.Regular);
   // The instances do not coordinate their probes; each probes at random with a
   // probability that gives nearly every due target a probe within a second.
-  const double ProbeProbability =
-      std::min(MaxProbeFraction, wantedProbeRate(Due) / Query.ProbingRate);
-  if (absl::Uniform(Random, 0.0, 1.0) > ProbeProbability)
+  const double Drawn = absl::Uniform(Random, 0.0, Query.ProbingRate);
+  if (Drawn >= std::min(MaxProbeFraction * Query.ProbingRate, WantedRate))
     return nullptr;
+  const std::vector<target_ref> &Among =
+      Drawn < EarlyRate ? Due.Early : Due.Regular;
   // Of two random targets, probe the one that has been without a request for
   // longer: it is the next one that would stay unused for too long.
-  const target_ref &One = Due[absl::Uniform<size_t>(Random, 0, Due.size())];
-  const target_ref &Other = Due[absl::Uniform<size_t>(Random, 0, Due.size())];
+  const target_ref &One = Among[absl::Uniform<size_t>(Random, 0, Among.size())];
+  const target_ref &Other =
+      Among[absl::Uniform<size_t>(Random, 0, Among.size())];
   const target_ref &Chosen = One->LastUsed < Other->LastUsed ? One : Other;
   // Until a probe of a hanging target shows what it is, other instances would
   // send theirs too.
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -58,6 +58,9 @@
   duration RepeatableProbeInterval = std::chrono::milliseconds(1500);
   /// The same from UrgentProbeFailedFraction on.
   duration UrgentRepeatableProbeInterval = std::chrono::milliseconds(1200);
+  /// The same for a target that responded to its last probe: it has probably
+  /// recovered, and some more responses make it usable.
+  duration RecoveringProbeInterval = std::chrono::milliseconds(300);
   /// The same while more than this number of targets is excluded and at least
   /// this fraction of the requests fails.
   size_t UrgentProbeExcluded = 12;
@@ -121,8 +124,8 @@
   double FailedFraction = 0;
   /// Whether this request may probe a target.
   bool MayProbe = true;
-  /// Whether it may probe one that failed a short time ago.
-  bool MayProbeEarly = true;
+  /// Probes per second over the fleet of targets that failed a short time ago.
+  double EarlyProbeRate = 0;
 };
 
 /// All known targets with their health estimates, and the choice among them.
@@ -216,8 +219,15 @@
   /// How long after the last request to a target that is probably gray a
   /// repeatable one probes it; without limit while few requests fail.
   duration earlyProbeInterval(const placement_query &Query) const;
-  std::vector<target_ref> dueForProbe(const placement_query &Query,
-                                      boot_time Now) const;
+  struct due_targets {
+    std::vector<target_ref> Regular;
+    /// Targets that failed a short time ago.
+    std::vector<target_ref> Early;
+  };
+  due_targets dueForProbe(const placement_query &Query, boot_time Now) const;
+  /// Whether it is excluded, responded to its last probe and is due for
+  /// another.
+  bool isRecovering(const target &Target, boot_time Now) const;
   bool isProbeDue(const target &Target, boot_time Now) const;
   /// Probes per second to \p Due that the fleet would send if all its instances
   /// probed as often as this one should. A target of this failure domain counts
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -154,19 +154,21 @@
   const fleet::service_stats Stats = Gateway.Fleet->budgets().statsOf(
       fleet::usageKey(Service), Gateway.Loop.now());
   Query.FailedFraction = Stats.FailedFraction;
+  const auto Budget = Gateway.Fleet->budgets().stateOf(
+      fleet::usageKey(Service), Gateway.Fleet->reachablePart(),
+      Gateway.Loop.now());
   const placement::probe_decision Probing = placement::decideProbing(
       Gateway.Settings.Forward.Probing,
       {.RequestRate = Stats.Rate,
        .RepeatableFraction = Gateway.RequestMix.repeatableFraction(Service),
-       .BudgetUsed = Gateway.Fleet->budgets().usedFraction(
-           fleet::usageKey(Service), Gateway.Fleet->reachablePart(),
-           Gateway.Loop.now()),
+       .BudgetPerSecond = Budget.PerSecond,
+       .BudgetUsed = Budget.UsedFraction,
        .Repeatable = mayBeSentAgain(),
        .AttemptsLeft =
            mayUseAnotherTarget() ? Route->MaxAttempts - SentTo.size() : 0});
   Query.ProbingRate = Probing.ProbingRate;
   Query.MayProbe = Probing.MayProbe;
-  Query.MayProbeEarly = Probing.MayProbeEarly;
+  Query.EarlyProbeRate = Probing.EarlyProbeRate;
   std::vector<placement::target_key> Avoid = Unreachable;
   placement::target_ref Chosen;
   if (mayUseAnotherTarget()) {
--- a/Source/UnitTests/Fleet/ProbeBudgetTest.cpp
+++ b/Source/UnitTests/Fleet/ProbeBudgetTest.cpp
@@ -86,12 +86,14 @@
 
   target_ref choose(const std::vector<target_key> &Tried) {
     const auto Stats = Budgets.statsOf(ServiceKey, Now);
-    const probe_decision Probing = decideProbing(
-        {}, {.RequestRate = Stats.Rate,
-             .RepeatableFraction = 1,
-             .BudgetUsed = Budgets.usedFraction(ServiceKey, {}, Now),
-             .Repeatable = true,
-             .AttemptsLeft = MaxAttempts - Tried.size()});
+    const auto Budget = Budgets.stateOf(ServiceKey, {}, Now);
+    const probe_decision Probing =
+        decideProbing({}, {.RequestRate = Stats.Rate,
+                           .RepeatableFraction = 1,
+                           .BudgetPerSecond = Budget.PerSecond,
+                           .BudgetUsed = Budget.UsedFraction,
+                           .Repeatable = true,
+                           .AttemptsLeft = MaxAttempts - Tried.size()});
     placement_query Query;
     Query.Service = Service;
     Query.Repeatable = true;
@@ -99,7 +101,7 @@
     Query.FailedFraction = Stats.FailedFraction;
     Query.ProbingRate = Probing.ProbingRate;
     Query.MayProbe = Probing.MayProbe;
-    Query.MayProbeEarly = Probing.MayProbeEarly;
+    Query.EarlyProbeRate = Probing.EarlyProbeRate;
     return Set.choose(Query, Now, Random);
   }
 
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -219,6 +219,7 @@
     };
     Query.FailedFraction = 0.06;
     Query.Repeatable = true;
+    Query.EarlyProbeRate = 10;
 
     SUBCASE("soon, so that no healthy target stays unused for two seconds") {
       CHECK(ProbesIn(milliseconds(1400)) == 0);
@@ -243,8 +244,36 @@
       CHECK(ProbesIn(milliseconds(400)) == 0);
       CHECK(ProbesIn(milliseconds(1600)) > 0);
     }
+    SUBCASE("and again soon when it has responded to a probe") {
+      // Some failures more, so that one response does not make it usable.
+      for (int Count = 0; Count < 3; ++Count)
+        Targets.observe(*Targets.find("b"), evidence::Broken, Now, Now);
+      Now += seconds(2);
+      Targets.find("b")->LastUsed = Now;
+      Succeed("b");
+      CHECK(ProbesIn(milliseconds(1100)) > 0);
+    }
+    SUBCASE("at the rate that its request allows over the fleet") {
+      for (char Name = 'e'; Name <= 'u'; ++Name) {
+        const std::string Id(1, Name);
+        Targets.put(entryOf(Id, "Trnava"), Now);
+        Targets.find(Id)->LastUsed = Now;
+        Targets.observe(*Targets.find(Id), evidence::Broken, Now, Now);
+      }
+      Now += seconds(2);
+      Query.EarlyProbeRate = 4;
+      int Probes = 0;
+      for (int Count = 0; Count < 400; ++Count)
+        Probes +=
+            Targets.choose(Query, Now, Random)->Fleet.probabilityAt(Now) > 0.5
+                ? 1
+                : 0;
+      // Of the forty requests of a second four.
+      CHECK(Probes > 20);
+      CHECK(Probes < 60);
+    }
     SUBCASE("not while the budget is left for other requests") {
-      Query.MayProbeEarly = false;
+      Query.EarlyProbeRate = 0;
       CHECK(ProbesIn(seconds(4)) == 0);
     }
     SUBCASE("not by a request that leaves probes to others") {
