The limit that a target names in its responses is kept by the fleet

What the target saw: it named a limit of one request a second and got up to twelve, from six and more instances; of 2.8 a second, and got eight.

Change: Fleet/TargetLimits. The latest statement counts, also a peer's; updates carry limits and the sender's requests to limited targets as totals; what is left in four seconds is divided while requests are unreported (Fleet/UseWindow). Targets whose limit is used up are left out of the choice.

Why it works: all instances that know the limit share one window, and what they do not know of each other is at most what was left of it.

--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -59,6 +59,17 @@
   return Flat;
 }
 
+json toJson(const std::vector<limit_report> &Limits) {
+  json Flat = json::array();
+  for (const limit_report &Report : Limits) {
+    Flat.push_back(Report.Target);
+    Flat.push_back(Report.PerSecond ? json(*Report.PerSecond) : json());
+    Flat.push_back(Report.AgeMs);
+    Flat.push_back(Report.Requests);
+  }
+  return Flat;
+}
+
 json toJson(const events_message &Events) {
   return json::array(
       {EventsKind, Events.Boot, Events.First, toJson(Events.Events)});
@@ -83,10 +94,10 @@
   }
   const int State = static_cast<int>(Update.State) +
                     ReadingFactor * static_cast<int>(Update.Reading);
-  return json::array({UpdateKind, Update.Boot, State, Update.Number,
-                      toJson(Update.Tables), toJson(Update.Workspaces),
-                      toJson(Update.Services), std::move(InFlight),
-                      Update.FirstEvent, toJson(Update.Events)});
+  return json::array(
+      {UpdateKind, Update.Boot, State, Update.Number, toJson(Update.Tables),
+       toJson(Update.Workspaces), toJson(Update.Services), std::move(InFlight),
+       Update.FirstEvent, toJson(Update.Events), toJson(Update.Limits)});
 }
 
 json toJson(absl::Span<const stored_row> Rows) {
@@ -226,6 +237,20 @@
   return Events;
 }
 
+std::vector<limit_report> limitsFrom(const json &Flat) {
+  std::vector<limit_report> Limits;
+  for (size_t Index = 0; Index + 3 < Flat.size(); Index += 4) {
+    limit_report Report;
+    Report.Target = Flat[Index].get<uint32_t>();
+    if (!Flat[Index + 1].is_null())
+      Report.PerSecond = Flat[Index + 1].get<double>();
+    Report.AgeMs = Flat[Index + 2].get<uint32_t>();
+    Report.Requests = Flat[Index + 3].get<uint64_t>();
+    Limits.push_back(Report);
+  }
+  return Limits;
+}
+
 update_message updateFrom(const json &Value) {
   update_message Update;
   Update.Boot = Value.at(1).get<uint64_t>();
@@ -242,6 +267,9 @@
         {InFlight[Index].get<uint32_t>(), InFlight[Index + 1].get<uint32_t>()});
   Update.FirstEvent = Value.at(8).get<uint64_t>();
   Update.Events = eventsFrom(Value.at(9));
+  // Senders of versions before this field do not report limits.
+  if (Value.size() > 10)
+    Update.Limits = limitsFrom(Value[10]);
   return Update;
 }
 
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -99,6 +100,17 @@
   uint32_t AgeMs = 0;
 };
 
+/// What a target said of its limit to the sender, and the sender's requests to
+/// it since the sender's start.
+struct limit_report {
+  placement::target_key Target = 0;
+  /// Requests per second; none if the target has no limit any more.
+  std::optional<double> PerSecond;
+  /// Time from the response to sending this message, in milliseconds.
+  uint32_t AgeMs = 0;
+  uint64_t Requests = 0;
+};
+
 /// What changed since the sender's last update.
 struct update_message {
   uint64_t Boot = 0;
@@ -117,6 +129,7 @@
   /// The sender's sequence number of the first event.
   uint64_t FirstEvent = 0;
   std::vector<target_event> Events;
+  std::vector<limit_report> Limits;
 };
 
 /// Evidence about targets that must not wait for the next update. Its events
--- a/Source/Core/Fleet/PeerView.cpp
+++ b/Source/Core/Fleet/PeerView.cpp
@@ -62,6 +62,8 @@
     applyWorkspaceTotal(*Peer, Total, Charged);
   for (const service_total &Total : Update.Services)
     applyServiceTotal(*Peer, Total, Charged);
+  for (const limit_report &Report : Update.Limits)
+    applyLimit(*Peer, Report, Charged);
   applyEvents(*Peer, Update.FirstEvent, Update.Events);
   if (!Late)
     Hooks.OnUpdate(*Peer, Update);
@@ -124,6 +126,20 @@
     Hooks.OnServiceUse(Growth);
 }
 
+void peer_view::applyLimit(peer &Peer, const limit_report &Report,
+                           bool Charged) {
+  const auto [Found, First] =
+      Peer.LimitedRequests.try_emplace(Report.Target, 0);
+  uint64_t &Known = Found->second;
+  // A message that arrives after a later one has a lower total.
+  if (Report.Requests < Known)
+    return;
+  const uint64_t Growth = Report.Requests - Known;
+  Known = Report.Requests;
+  const bool IsRecent = Charged && !(First && Peer.StartedEarlier);
+  Hooks.OnLimit(Report, IsRecent ? Growth : 0);
+}
+
 size_t peer_view::reachableCount(boot_time Now) const {
   return static_cast<size_t>(
       std::count_if(Peers.begin(), Peers.end(), [&](const auto &Entry) {
--- a/Source/Core/Fleet/PeerView.h
+++ b/Source/Core/Fleet/PeerView.h
@@ -38,6 +38,8 @@
   uint64_t NextEvent = 0;
   absl::flat_hash_map<uint32_t, workspace_total> Workspaces;
   absl::flat_hash_map<uint32_t, service_total> Services;
+  /// Reported requests to targets with a limit.
+  absl::flat_hash_map<placement::target_key, uint64_t> LimitedRequests;
 };
 
 /// Called for what a peer's message changes.
@@ -51,6 +53,8 @@
   /// The increase of the peer's totals of a service.
   std::function<void(const service_total &Growth)> OnServiceUse;
   std::function<void(const target_event &Event)> OnEvent;
+  /// A limit, and the increase of the peer's requests to that target.
+  std::function<void(const limit_report &Report, uint64_t Growth)> OnLimit;
   /// Called last, for all other content of the update.
   std::function<void(const peer &Peer, const update_message &Update)> OnUpdate;
 };
@@ -104,6 +108,7 @@
                    absl::Span<const target_event> Events);
   void applyWorkspaceTotal(peer &Peer, const workspace_total &Total,
                            bool Charged);
+  void applyLimit(peer &Peer, const limit_report &Report, bool Charged);
   void applyServiceTotal(peer &Peer, const service_total &Total, bool Charged);
 
   const std::string OwnName;
--- a/Source/Core/Fleet/UseWindow.cpp
+++ b/Source/Core/Fleet/UseWindow.cpp
@@ -60,23 +60,33 @@
   intervalAt(Settings, Now).Uses += Uses;
 }
 
-use_decision use_window::tryUse(const use_settings &Settings, uint32_t Key,
+use_decision use_window::decide(const use_settings &Settings, uint32_t Key,
                                 double Bound, const fleet_part &Fleet,
-                                boot_time Now) {
-  while (!Unreported.empty() && Now - Unreported.front() >= Settings.ReportTime)
-    Unreported.pop_front();
+                                boot_time Now) const {
   use_decision Decision;
   Decision.Used = usedAt(Settings, Now);
   Decision.Bound = Bound;
-  Decision.Unreported = Unreported.size();
+  Decision.Unreported = static_cast<size_t>(
+      std::count_if(Unreported.begin(), Unreported.end(), [&](boot_time At) {
+        return Now - At < Settings.ReportTime;
+      }));
   const auto Own = static_cast<double>(Decision.Unreported);
   Decision.OwnPart =
       ownPart(Settings, Key, Bound - Decision.Used + Own, Fleet, Now);
-  if (Decision.Used + 1 > Bound || Own + 1 > Decision.OwnPart)
-    return Decision;
-  Decision.Granted = true;
-  intervalAt(Settings, Now).Uses += 1;
-  Unreported.push_back(Now);
+  Decision.Granted = Decision.Used + 1 <= Bound && Own + 1 <= Decision.OwnPart;
+  return Decision;
+}
+
+use_decision use_window::tryUse(const use_settings &Settings, uint32_t Key,
+                                double Bound, const fleet_part &Fleet,
+                                boot_time Now) {
+  while (!Unreported.empty() && Now - Unreported.front() >= Settings.ReportTime)
+    Unreported.pop_front();
+  const use_decision Decision = decide(Settings, Key, Bound, Fleet, Now);
+  if (Decision.Granted) {
+    intervalAt(Settings, Now).Uses += 1;
+    Unreported.push_back(Now);
+  }
   return Decision;
 }
 
--- a/Source/Core/Fleet/UseWindow.h
+++ b/Source/Core/Fleet/UseWindow.h
@@ -49,6 +49,10 @@
 /// however fast it is asked for. Reads no clock; not thread-safe.
 class use_window {
 public:
+  /// What tryUse() would decide now.
+  use_decision decide(const use_settings &Settings, uint32_t Key, double Bound,
+                      const fleet_part &Fleet, boot_time Now) const;
+
   /// Counts one use if at most \p Bound in the window are known and this
   /// instance's part is not used up. \p Key: that of the use, for the rounding
   /// of parts.
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -75,6 +75,11 @@
   return Found == ById.end() ? nullptr : Found->second;
 }
 
+target_ref target_set::find(target_key Key) const {
+  const auto Found = ByKey.find(Key);
+  return Found == ByKey.end() ? nullptr : Found->second;
+}
+
 const std::vector<target_ref> &
 target_set::targetsOf(std::string_view Service) const {
   static const std::vector<target_ref> None;
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -196,6 +196,7 @@
   size_t size() const { return ById.size(); }
   size_t sizeOf(std::string_view Service) const;
   target_ref find(std::string_view Id) const;
+  target_ref find(target_key Key) const;
 
   /// All targets of \p Service.
   const std::vector<target_ref> &targetsOf(std::string_view Service) const;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -147,6 +147,14 @@
   return SentTo.size() < Route->MaxAttempts;
 }
 
+std::vector<placement::target_key> exchange::unusableTargets() const {
+  std::vector<placement::target_key> Targets =
+      Gateway.Fleet->limits().exhausted(Gateway.Fleet->reachablePart(),
+                                        Gateway.Loop.now());
+  Targets.insert(Targets.end(), Unreachable.begin(), Unreachable.end());
+  return Targets;
+}
+
 placement::target_ref exchange::chooseTarget() {
   placement::placement_query Query;
   Query.Service = Service;
@@ -169,7 +177,8 @@
   Query.ProbingRate = Probing.ProbingRate;
   Query.MayProbe = Probing.MayProbe;
   Query.EarlyProbeRate = Probing.EarlyProbeRate;
-  std::vector<placement::target_key> Avoid = Unreachable;
+  const std::vector<placement::target_key> Unusable = unusableTargets();
+  std::vector<placement::target_key> Avoid = Unusable;
   placement::target_ref Chosen;
   if (mayUseAnotherTarget()) {
     Avoid.insert(Avoid.end(), SentTo.begin(), SentTo.end());
@@ -181,7 +190,7 @@
     return Chosen;
   // Of the targets it was sent to, only those that refused to run the request
   // may be tried again.
-  Avoid = Unreachable;
+  Avoid = Unusable;
   for (const placement::target_ref &Target :
        Gateway.TargetSet.targetsOf(Service))
     if (!contains(RefusedBy, Target->Key))
@@ -233,6 +242,8 @@
   const auto Attempt = std::make_shared<attempt>();
   Attempt->Target = Target;
   Attempt->StartedAt = Gateway.Loop.now();
+  Gateway.Fleet->limits().tryUse(Target->Key, Gateway.Fleet->reachablePart(),
+                                 Gateway.Loop.now());
   Attempts.push_back(Attempt);
   Attempt->Connection = Gateway.Pool.take(Target);
   logAttempt(*Attempt, Attempt->Connection != nullptr);
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -55,6 +55,8 @@
   void tryNext();
   bool mayUseAnotherTarget() const;
   placement::target_ref chooseTarget();
+  /// Targets that could not be reached, or whose limit is used up.
+  std::vector<placement::target_key> unusableTargets() const;
   bool hasUntriedTarget() const;
   void waitForTarget();
   /// How long it waits until a target is available.
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -50,8 +50,8 @@
     : Loop(Loop), Settings(Settings), TargetSet(TargetSet),
       Instances(std::move(Instances)), Hooks(std::move(Hooks)),
       Boot(makeBootId()), Started(Loop.now()), Buckets(Settings.Rates),
-      Budgets(Settings.Budget, Started, Boot), RelayRound(Boot),
-      UrgentLimit(Settings.Urgent) {}
+      Budgets(Settings.Budget, Started, Boot), Limits(Settings.Limits, Boot),
+      RelayRound(Boot), UrgentLimit(Settings.Urgent) {}
 
 absl::StatusOr<std::unique_ptr<fleet_agent>>
 fleet_agent::open(event::event_loop &Loop, const settings &Settings,
@@ -88,6 +88,11 @@
                                Now - std::chrono::milliseconds(Event.AgeMs),
                                Now);
   };
+  PeerHooks.OnLimit = [Raw](const fleet::limit_report &Report,
+                            uint64_t Growth) {
+    if (Raw->Limits.statePeer(Report, Growth, Raw->Loop.now()))
+      Raw->Hooks.OnLimit(Report);
+  };
   PeerHooks.OnUpdate = [Raw](const fleet::peer &Peer,
                              const fleet::update_message &Update) {
     Raw->TargetSet.setPeerInFlight(Peer.Boot, Update.InFlight, Raw->Loop.now());
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -57,6 +57,8 @@
                        const fleet::update_message &Update)>
         OnUpdate;
     std::function<void(const fleet::rows_message &Rows)> OnRows;
+    /// A peer told of a changed limit of a target.
+    std::function<void(const fleet::limit_report &Report)> OnLimit;
   };
 
   static absl::StatusOr<std::unique_ptr<fleet_agent>>
--- a/Source/Gateway/FleetAgentUpdates.cpp
+++ b/Source/Gateway/FleetAgentUpdates.cpp
@@ -134,6 +134,7 @@
   Update.InFlight = TargetSet.ownInFlight();
   Update.FirstEvent = stateOf(Audience).FirstEvent;
   Update.Events = takeEvents(Audience);
+  Update.Limits = Limits.collectReports(Audience, Full, Loop.now());
   return Update;
 }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -107,6 +107,10 @@
   FleetHooks.OnRows = [this](const fleet::rows_message &Rows) {
     Store->applyForwarded(Rows);
   };
+  FleetHooks.OnLimit = [this](const fleet::limit_report &Report) {
+    if (const auto Target = TargetSet.find(Report.Target))
+      logTargetLimit(*Target, Report.PerSecond, limit_source::Peer);
+  };
   FleetHooks.IsReading = [this] { return Store->isReading(); };
   auto Agent = fleet_agent::open(Loop, Settings, TargetSet,
                                  Environment.Instances, std::move(FleetHooks));
@@ -165,6 +169,7 @@
   Loop.callEvery(SweepPeriod, [this] {
     Pool.sweep();
     TargetRegistry.advance(storeAvailability(), Loop.now());
+    Fleet->limits().advance(Loop.now());
     logFailureMode();
   });
 }
@@ -298,8 +303,10 @@
 
 void gateway::onTargetLimit(const placement::target &Target,
                             std::optional<double> PerSecond) {
-  if (Fleet->limits().state(Target.Key, PerSecond, Loop.now()))
-    logTargetLimit(Target, PerSecond, limit_source::Target);
+  if (!Fleet->limits().state(Target.Key, PerSecond, Loop.now()))
+    return;
+  logTargetLimit(Target, PerSecond, limit_source::Target);
+  Fleet->announce();
 }
 
 void gateway::onConnectionLost(placement::lost_connection Lost) {
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -8,6 +8,7 @@
 #include "Fleet/FleetMessage.h"
 #include "Fleet/PeerView.h"
 #include "Fleet/ReaderDecision.h"
+#include "Fleet/TargetLimits.h"
 #include "Fleet/UrgentLimit.h"
 #include "Placement/LossFilter.h"
 #include "Placement/ProbePolicy.h"
@@ -118,6 +119,7 @@
   update_settings Updates;
   shutdown_settings Shutdown;
   fleet::budget_settings Budget;
+  fleet::limit_settings Limits;
   fleet::bucket_settings Rates;
   fleet::peer_settings Peers;
   fleet::reader_settings Readers;
--- a/Source/UnitTests/Fleet/FleetMessageTest.cpp
+++ b/Source/UnitTests/Fleet/FleetMessageTest.cpp
@@ -31,6 +31,7 @@
     Update.InFlight = {{99, 4}};
     Update.FirstEvent = 1000;
     Update.Events = {{99, evidence::Broken, 17}, {98, evidence::Accepted, 60}};
+    Update.Limits = {{99, 2.8, 40, 7}, {98, std::nullopt, 0, 3}};
     const auto Read = decode(encode(Update));
     REQUIRE(Read.ok());
     const auto &Same = std::get<update_message>(*Read);
@@ -46,6 +47,10 @@
     REQUIRE(Same.Events.size() == 2);
     CHECK(Same.Events[0].Evidence == evidence::Broken);
     CHECK(Same.Events[1].AgeMs == 60);
+    REQUIRE(Same.Limits.size() == 2);
+    CHECK(Same.Limits[0].PerSecond == 2.8);
+    CHECK(Same.Limits[0].Requests == 7);
+    CHECK_FALSE(Same.Limits[1].PerSecond.has_value());
     CHECK(encode(Update).size() < 100);
   }
   SUBCASE("say nothing of the tables in few bytes") {
