A refused request is sent again on a new connection alone; refusals without an id are not believed

What callers saw, reported by other operators: requests that may not be repeated ran twice, or were reported as not run and had run, when a target wrote an earlier refusal once more on a kept connection.

Cause: a response is matched by the request's id. A request that a target refused was sent to it again on the same kept connection with the same id, so the repeated refusal passed for the answer to the second attempt; and a refusal without an id passed for the answer to any.

Change: such a request takes no kept connection to a target that refused it, and a refusal without an id ends the connection and counts as unknown.

Why it works: on a new connection nothing earlier can arrive, and "not run" is only believed of the request that it names.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -245,7 +245,10 @@
   Gateway.Fleet->limits().tryUse(Target->Key, Gateway.Fleet->reachablePart(),
                                  Gateway.Loop.now());
   Attempts.push_back(Attempt);
-  Attempt->Connection = Gateway.Pool.take(Target);
+  // On a kept connection its earlier refusal by this target may arrive once
+  // more, and could not be told from the response to this attempt.
+  if (!contains(RefusedBy, Target->Key))
+    Attempt->Connection = Gateway.Pool.take(Target);
   logAttempt(*Attempt, Attempt->Connection != nullptr);
   if (Attempt->Connection) {
     send(Attempt);
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -68,8 +68,6 @@
 void exchange::onResponse(const attempt_ref &Attempt,
                           message::response Response) {
   const header_names &HeaderNames = Gateway.Environment.HeaderNames;
-  const bool NotRun = Response.Headers.find(HeaderNames.NotRun).has_value() ||
-                      Response.Status == MisdirectedRequest;
   const auto ResponseId = Response.Headers.find(HeaderNames.RequestId);
   if (ResponseId && *ResponseId != Id) {
     // An extra response to an earlier request; the one to this request may
@@ -77,13 +75,23 @@
     Attempt->Connection->keepWaiting();
     return;
   }
+  const bool SaysNotRun =
+      Response.Headers.find(HeaderNames.NotRun).has_value() ||
+      Response.Status == MisdirectedRequest;
+  if (SaysNotRun && !ResponseId) {
+    // It may be a refusal of another request, while this one runs.
+    observe(*Attempt, evidence::Broken);
+    endAttempt(Attempt, false);
+    retryOrFail(error_kind::AnswerMismatched, "a refusal without an id");
+    return;
+  }
   const target_feedback Feedback = feedbackOf(Response, HeaderNames);
   if (Feedback.Draining)
     Gateway.onTargetDraining(Id, *Attempt->Target);
   Gateway.onTargetLimit(*Attempt->Target, Feedback.LimitPerSecond);
   if (Feedback.Pause)
     pauseTarget(*Attempt, *Feedback.Pause);
-  if (NotRun) {
+  if (SaysNotRun) {
     // What a target says when to come back is not a sign that it is gray.
     if (!Feedback.Pause)
       observe(*Attempt, evidence::Refused);
