--- a/Source/UnitTests/Fleet/FleetBucketsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBucketsTest.cpp
@@ -191,3 +191,15 @@
     CHECK(Buckets.collectTotals(audience::OtherDomains, false).empty());
   }
 }
+
+TEST_CASE("A workspace's rate over hundreds of instances with late reports") {
+  // From any instance to all others in half a second, at eight times the rate.
+  const workspace_rate Rate{60, 60};
+  reporting_fleet Fleet(177, milliseconds(560));
+  const boot_time Now(seconds(50));
+  for (int Tick = 0; Tick < 4800; ++Tick)
+    Fleet.admit(static_cast<size_t>(Tick) % 177, Rate, 1,
+                Now + std::chrono::microseconds(Tick * 2083));
+  CHECK(Fleet.maxInWindow(seconds(5)) <= boundOf(Rate));
+  CHECK(Fleet.admitted() >= 9 * 60);
+}
