--- a/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
@@ -87,8 +87,8 @@
 class refused_fleet {
 public:
   static constexpr size_t Instances = 43;
-  static constexpr int RequestsPerSecond = 550;
   static constexpr int MaxExtraAttempts = 6;
+  /// One request is sent in each.
   static constexpr milliseconds Step{2};
   static constexpr milliseconds ReportPeriod{500};
   static constexpr milliseconds Transit{60};
@@ -197,7 +197,7 @@
   SUBCASE("at all instances, and the fleet stays within its budget") {
     Fleet.run(seconds(15), refused_fleet::Instances);
     CHECK(Fleet.withinBudget());
-    // And uses most of it: the bound is 1,284 in ten seconds.
+    // And uses most of it: the bound is 1,184 in ten seconds.
     CHECK(Fleet.attempts() > 1200);
   }
   SUBCASE("again after they took requests for a while") {
@@ -210,7 +210,7 @@
   SUBCASE("at one instance, which repeats most of its requests") {
     Fleet.run(seconds(4), 1);
     CHECK(Fleet.withinBudget());
-    // It gets 13 requests a second.
+    // It gets 12 requests a second.
     CHECK(Fleet.attempts() > 40);
   }
 }
