--- a/Source/UnitTests/Fleet/TargetLimitsTest.cpp
+++ b/Source/UnitTests/Fleet/TargetLimitsTest.cpp
@@ -62,7 +62,9 @@
 
   void exchangeReports(bool LosesReports) {
     for (size_t From = 0; From < Fleet.size(); ++From) {
-      if ((Now.time_since_epoch() / milliseconds(25) + From) % 20 != 0)
+      const auto Step =
+          static_cast<size_t>(Now.time_since_epoch() / milliseconds(25));
+      if ((Step + From) % 20 != 0)
         continue;
       for (const limit_report &Report :
            Fleet[From].collectReports(audience::OtherDomains, false, Now)) {
@@ -93,7 +95,7 @@
 } // namespace
 
 TEST_CASE("A fleet shares the limit that a target names") {
-  for (const size_t Instances : {14, 43, 177})
+  for (const size_t Instances : {size_t{14}, size_t{43}, size_t{177}})
     for (const double PerSecond : {0.3, 1.0, 2.8, 20.0}) {
       CAPTURE(Instances);
       CAPTURE(PerSecond);
