--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -203,12 +203,12 @@
   fleet::table_hooks Hooks;
   Hooks.OnChange = [this](const stored_row &Row) {
     if (Row.Key == Environment.ConfigurationKey && !Row.Removed)
-      applyConfiguration(Row.Value);
+      applyConfiguration(Row);
   };
   Hooks.OnSnapshot = [this](const std::vector<stored_row> &Rows) {
     for (const stored_row &Row : Rows)
       if (Row.Key == Environment.ConfigurationKey)
-        applyConfiguration(Row.Value);
+        applyConfiguration(Row);
   };
   return Hooks;
 }
@@ -255,19 +255,26 @@
                         Loop.now());
 }
 
-void gateway::applyConfiguration(const std::string &Value) {
-  auto Read = Environment.Decoders.Configuration(Value);
+void gateway::applyConfiguration(const stored_row &Row) {
+  auto Read = Environment.Decoders.Configuration(Row.Value);
   if (!Read.ok()) {
     common::log(log_level::Error, Component, "invalid configuration",
                 {{"detail", std::string(Read.status().message())}});
     return;
   }
   const uint64_t InForce = Routes ? Routes->version() : 0;
-  if (Routes && Read->Version <= InForce)
+  if (Routes && Read->Version <= InForce) {
+    if (Read->Version < InForce)
+      common::log(log_level::Warning, Component, "older configuration ignored",
+                  {{"version", Read->Version},
+                   {"in_force", InForce},
+                   {"store_version", Row.Version}});
     return;
+  }
   common::log(log_level::Info, Component, "configuration applied",
               {{"version", Read->Version},
                {"before", InForce},
+               {"store_version", Row.Version},
                {"routes", Read->Routes.size()},
                {"workspaces", Read->Workspaces.size()}});
   Routes = routing::route_table::build(std::move(*Read));
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -102,7 +102,7 @@
   void shareStore();
   fleet::table_hooks configurationHooks();
   fleet::table_hooks targetHooks();
-  void applyConfiguration(const std::string &Value);
+  void applyConfiguration(const stored_row &Row);
   void logTarget(const placement::target_entry &Entry) const;
   placement::store_availability storeAvailability() const;
   void applyTarget(const stored_row &Row);
--- a/Source/Gateway/StoreSharing.cpp
+++ b/Source/Gateway/StoreSharing.cpp
@@ -103,7 +103,8 @@
   if (Id == table_id::Configuration)
     Follow.BatchDelay = duration::zero();
   Replica.Follower = std::make_unique<table_follower>(
-      Loop, std::move(Table), Follow, *Replica.Copy, std::move(FollowerHooks));
+      Loop, pathOf(Id), std::move(Table), Follow, *Replica.Copy,
+      std::move(FollowerHooks));
 }
 
 void store_sharing::start() {
--- a/Source/Gateway/TableFollower.cpp
+++ b/Source/Gateway/TableFollower.cpp
@@ -4,12 +4,15 @@
 
 #include <absl/random/distributions.h>
 
+#include "Common/Log.h"
+
 namespace magnolia::gateway {
 namespace {
 
 /// The first long poll after enabling returns at once, to show whether the
 /// store is available.
 constexpr std::chrono::milliseconds FirstFollowWait{1};
+constexpr std::string_view Component = "Store";
 
 } // namespace
 
@@ -45,7 +48,7 @@
 
 void table_follower::onPage(store_reply Reply) {
   if (Reply.Result != store_result::Done) {
-    onFailure(Reply.Result);
+    onFailure(Reply);
     return;
   }
   // The feed is followed from the version of the first page, so changes between
@@ -63,6 +66,12 @@
   }
   onSuccess();
   NeedsSnapshot = false;
+  common::log(common::log_level::Info, Component, "table read",
+              {{"table", Name},
+               {"era", Reply.Era},
+               {"version", PagesVersion},
+               {"known_version", Copy.status().Version},
+               {"rows", Pages.size()}});
   Copy.applySnapshot(Pages, PagesVersion);
   Pages.clear();
   Hooks.OnSnapshot();
@@ -75,7 +84,7 @@
     if (Reply.Result == store_result::Done)
       onChanges(Reply);
     else
-      onFailure(Reply.Result);
+      onFailure(Reply);
   });
 }
 
@@ -118,8 +127,13 @@
   return Long ? fleet::reading_state::LongSteady : fleet::reading_state::Steady;
 }
 
-void table_follower::onFailure(store_result Result) {
-  if (Result == store_result::HistoryLost) {
+void table_follower::onFailure(const store_reply &Reply) {
+  if (Reply.Result == store_result::HistoryLost) {
+    common::log(common::log_level::Info, Component,
+                "store has no changes after the known version",
+                {{"table", Name},
+                 {"era", Reply.Era},
+                 {"known_version", Copy.status().Version}});
     NeedsSnapshot = true;
     next();
     return;
--- a/Source/Gateway/TableFollower.h
+++ b/Source/Gateway/TableFollower.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include <absl/random/random.h>
@@ -28,11 +30,12 @@
 /// store is unavailable.
 class table_follower {
 public:
-  table_follower(event::event_loop &Loop, store_table Table,
-                 const follow_settings &Settings, fleet::shared_table &Copy,
-                 follower_hooks Hooks)
-      : Loop(Loop), Table(std::move(Table)), Settings(Settings), Copy(Copy),
-        Hooks(std::move(Hooks)) {}
+  /// \p Name: of the table, for the log.
+  table_follower(event::event_loop &Loop, std::string_view Name,
+                 store_table Table, const follow_settings &Settings,
+                 fleet::shared_table &Copy, follower_hooks Hooks)
+      : Loop(Loop), Name(Name), Table(std::move(Table)), Settings(Settings),
+        Copy(Copy), Hooks(std::move(Hooks)) {}
 
   /// Starts reading unless it already does.
   void enable();
@@ -54,11 +57,12 @@
   void onPage(store_reply Reply);
   void follow();
   void onChanges(const store_reply &Reply);
-  void onFailure(store_result Result);
+  void onFailure(const store_reply &Reply);
   void onSuccess();
   void continueAfter(duration Delay);
 
   event::event_loop &Loop;
+  const std::string Name;
   const store_table Table;
   const follow_settings Settings;
   fleet::shared_table &Copy;
