A restored store: positions are ordered by era and version

Callers saw: after the store came back from an older copy, a configuration that it accepted was in force nowhere (404 on new routes, requests sent where the earlier version sent them), and the instances read the store in a loop without pauses.

Cause: replicas, peers and the follower compared versions of the store alone. The class: an order that is only valid inside one history was used across histories.

Change: a position is era and version. The full table of a later era replaces the replica; changes, statuses, fetches and late replies of another era than the content's are not mixed with it. A changed era of the feed makes the follower read the table; backups wait 0.8 s for it from a peer. Which configuration is in force is decided apart (accepted_configuration): the operator's version never goes back, a version that is used again after a restore replaces the lost one.

--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -80,9 +80,11 @@
   if (!isStated(Tables))
     return Flat;
   for (const table_status &Status : Tables) {
-    Flat.push_back(Status.Version);
+    Flat.push_back(Status.Position.Version);
     Flat.push_back(Status.Digest);
   }
+  for (const table_status &Status : Tables)
+    Flat.push_back(Status.Position.Era);
   return Flat;
 }
 
@@ -115,7 +117,7 @@
 
 json toJson(const rows_message &Rows) {
   return json::array({RowsKind, static_cast<int>(Rows.Table),
-                      toJson(absl::MakeConstSpan(Rows.Rows))});
+                      toJson(absl::MakeConstSpan(Rows.Rows)), Rows.Era});
 }
 
 json toJson(const bundle_message &Bundle) {
@@ -147,6 +149,11 @@
   return Rows;
 }
 
+/// An era at \p Index. Senders of versions before this field do not send it.
+uint64_t eraFrom(const json &Value, size_t Index) {
+  return Index < Value.size() ? Value[Index].get<uint64_t>() : 0;
+}
+
 absl::StatusOr<message> rowsMessageFrom(const json &Value) {
   rows_message Rows;
   const auto Table = Value.at(1).get<uint32_t>();
@@ -154,6 +161,7 @@
     return absl::InvalidArgumentError("rows message names an unknown table");
   Rows.Table = static_cast<table_id>(Table);
   Rows.Rows = rowsFrom(Value.at(2));
+  Rows.Era = eraFrom(Value, 3);
   return Rows;
 }
 
@@ -174,7 +182,8 @@
   std::array<table_status, TableCount> Tables;
   for (size_t Index = 0; Index < TableCount && 2 * Index + 1 < Flat.size();
        ++Index)
-    Tables.at(Index) = {Flat[2 * Index].get<uint64_t>(),
+    Tables.at(Index) = {{eraFrom(Flat, 2 * TableCount + Index),
+                         Flat[2 * Index].get<uint64_t>()},
                         Flat[2 * Index + 1].get<uint32_t>()};
   return Tables;
 }
@@ -286,7 +295,7 @@
 bool isStated(const std::array<table_status, TableCount> &Tables) {
   return std::any_of(
       Tables.begin(), Tables.end(),
-      [](const table_status &Status) { return Status.Version > 0; });
+      [](const table_status &Status) { return Status.Position.Version > 0; });
 }
 
 std::string encode(const message &Message) {
@@ -319,8 +328,9 @@
 
 std::string encodeContent(const table_content &Content) {
   std::string Bytes;
-  json::to_cbor(json::array({Content.Version, Content.ChangesOnly,
-                             toJson(absl::MakeConstSpan(Content.Rows))}),
+  json::to_cbor(json::array({Content.Position.Version, Content.ChangesOnly,
+                             toJson(absl::MakeConstSpan(Content.Rows)),
+                             Content.Position.Era}),
                 Bytes);
   return Bytes;
 }
@@ -329,7 +339,7 @@
   try {
     const json Value = json::from_cbor(Bytes);
     table_content Content;
-    Content.Version = Value.at(0).get<uint64_t>();
+    Content.Position = {eraFrom(Value, 3), Value.at(0).get<uint64_t>()};
     Content.ChangesOnly = Value.at(1).get<bool>();
     Content.Rows = rowsFrom(Value.at(2));
     return Content;
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -143,6 +143,8 @@
 /// Changes of a table that the sender read from the store.
 struct rows_message {
   table_id Table = table_id::Targets;
+  /// The era of the store in which they were read.
+  uint64_t Era = 0;
   std::vector<stored_row> Rows;
 };
 
--- a/Source/Core/Fleet/SharedTable.cpp
+++ b/Source/Core/Fleet/SharedTable.cpp
@@ -24,7 +24,7 @@
 }
 
 bool shared_table::isOutdated(const stored_row &Row) const {
-  if (Row.Version <= Known)
+  if (Row.Version <= Known.Version)
     return true;
   if (const auto Found = Rows.find(Row.Key);
       Found != Rows.end() && Row.Version <= Found->second.Row.Version)
@@ -77,7 +77,7 @@
                            return Left.second < Right.second;
                          });
     // A change up to the known version is outdated without the removal.
-    if (Oldest->second > Known)
+    if (Oldest->second > Known.Version)
       return;
     ChangesSince = std::max(ChangesSince, Oldest->second);
     Removals.erase(Oldest);
@@ -97,39 +97,54 @@
     removeRow(Key, Version);
 }
 
+void shared_table::startEra(uint64_t Era) {
+  Rows.clear();
+  Removals.clear();
+  Digest = 0;
+  Known = {Era, 0};
+}
+
 void shared_table::applySnapshot(const std::vector<stored_row> &Snapshot,
-                                 uint64_t Version) {
-  if (HasContent && Version < Known)
+                                 store_position Position) {
+  if (HasContent && Position < Known)
     return;
-  if (!HasContent)
-    ChangesSince = Version;
-  removeMissing(Snapshot, Version);
+  const bool Restored = HasContent && Position.Era > Known.Era;
+  if (Restored)
+    startEra(Position.Era);
+  if (!HasContent || Restored)
+    ChangesSince = Position.Version;
+  removeMissing(Snapshot, Position.Version);
   // Rows of a snapshot can be as old as the table, so they are compared with
   // the replica's rows and not with the known version.
-  Known = 0;
+  Known.Version = 0;
   for (const stored_row &Row : Snapshot)
     if (!isOutdated(Row))
       put(Row);
-  Known = Version;
+  Known = Position;
   HasContent = true;
   forgetOldRemovals();
+  if (Restored && Hooks.OnRestored)
+    Hooks.OnRestored();
   Hooks.OnSnapshot(allRows());
 }
 
 std::vector<stored_row>
 shared_table::applyChanges(absl::Span<const stored_row> Received,
-                           uint64_t Version) {
+                           store_position Position) {
   std::vector<stored_row> Changed;
+  if (Position.Era != Known.Era)
+    return Changed;
   for (const stored_row &Row : Received)
     if (!isOutdated(Row) && apply(Row))
       Changed.push_back(Row);
-  Known = std::max(Known, Version);
+  Known = std::max(Known, Position);
   forgetOldRemovals();
   return Changed;
 }
 
-void shared_table::applyForwarded(absl::Span<const stored_row> Received) {
-  if (!HasContent)
+void shared_table::applyForwarded(absl::Span<const stored_row> Received,
+                                  uint64_t Era) {
+  if (!HasContent || Era != Known.Era)
     return;
   for (const stored_row &Row : Received)
     if (!isOutdated(Row))
@@ -138,33 +153,35 @@
 
 void shared_table::applyContent(const table_content &Content) {
   if (Content.ChangesOnly)
-    applyChanges(Content.Rows, Content.Version);
+    applyChanges(Content.Rows, Content.Position);
   else
-    applySnapshot(Content.Rows, Content.Version);
+    applySnapshot(Content.Rows, Content.Position);
 }
 
 bool shared_table::includes(const table_status &Status) {
-  if (Status.Version <= Known)
+  if (Status.Position <= Known)
     return true;
-  if (!HasContent || Status.Digest != Digest)
+  const bool Comparable = HasContent && Status.Position.Era == Known.Era;
+  if (!Comparable || Status.Digest != Digest)
     return false;
-  Known = Status.Version;
+  Known = Status.Position;
   return true;
 }
 
-table_content shared_table::contentAfter(uint64_t Version) const {
+table_content shared_table::contentAfter(store_position Position) const {
   table_content Content;
-  Content.Version = Known;
-  Content.ChangesOnly = Version > 0 && Version >= ChangesSince;
+  Content.Position = Known;
+  Content.ChangesOnly = Position.Era == Known.Era && Position.Version > 0 &&
+                        Position.Version >= ChangesSince;
   if (!Content.ChangesOnly) {
     Content.Rows = allRows();
     return Content;
   }
   for (const auto &[Key, Entry] : Rows)
-    if (Entry.ChangedAt > Version)
+    if (Entry.ChangedAt > Position.Version)
       Content.Rows.push_back(Entry.Row);
   for (const auto &[Key, RemovedAt] : Removals)
-    if (RemovedAt > Version)
+    if (RemovedAt > Position.Version)
       Content.Rows.push_back({Key, "", RemovedAt, true});
   return Content;
 }
--- a/Source/Core/Fleet/SharedTable.h
+++ b/Source/Core/Fleet/SharedTable.h
@@ -17,6 +17,9 @@
   /// The table now holds exactly these rows.
   std::function<void(const std::vector<stored_row> &Rows)> OnSnapshot;
   std::function<void(const stored_row &Row)> OnChange;
+  /// The content is replaced by that of a store that was restored from an older
+  /// copy; OnSnapshot follows.
+  std::function<void()> OnRestored;
   /// A hash of what matters in a row's value, the same on every instance. A
   /// row whose hash stays the same was only renewed by its owner, and peers do
   /// not hear of it. Without this hook the whole value matters.
@@ -25,8 +28,8 @@
 
 /// Which content of a table an instance has.
 struct table_status {
-  /// Every change up to this version is included; zero without content.
-  uint64_t Version = 0;
+  /// Every change up to it is included; version zero without content.
+  store_position Position;
   /// Equal for equal keys and hashes of rows.
   uint32_t Digest = 0;
 
@@ -35,8 +38,8 @@
 
 /// The content that a peer fetches.
 struct table_content {
-  /// Every change up to this version is included.
-  uint64_t Version = 0;
+  /// Every change up to it is included.
+  store_position Position;
   /// The rows are the changes that the peer lacks; otherwise the full table.
   bool ChangesOnly = false;
   std::vector<stored_row> Rows;
@@ -44,7 +47,9 @@
 
 /// One instance's replica of a table of the store, updated by the store or by
 /// peers. Each change is applied once and none is undone by an older one, in
-/// whatever order they arrive. Peers forward changes that may be lost; replicas
+/// whatever order they arrive. When the store was restored from an older copy,
+/// its full table replaces the content, and whatever is still on its way from
+/// before is ignored. Peers forward changes that may be lost; replicas
 /// with equal digests hold the same content, so that each learns from the
 /// status of the others whether it missed one. Load pattern: hundreds of
 /// targets that renew their rows every second or two, nearly always without a
@@ -53,17 +58,20 @@
 public:
   explicit shared_table(table_hooks Hooks) : Hooks(std::move(Hooks)) {}
 
-  /// Replaces the content by the full table at \p Version, from the store or a
-  /// peer; rows with later changes stay. An older snapshot changes nothing.
-  void applySnapshot(const std::vector<stored_row> &Rows, uint64_t Version);
+  /// Replaces the content by the full table at \p Position, from the store or a
+  /// peer; rows with later changes of the same era stay. An older snapshot
+  /// changes nothing.
+  void applySnapshot(const std::vector<stored_row> &Rows,
+                     store_position Position);
 
-  /// Applies the changes up to \p Version, from the store. Returns those that
-  /// change the digest.
+  /// Applies the changes up to \p Position, from the store. Returns those that
+  /// change the digest. Changes of another era than the content's are ignored.
   std::vector<stored_row> applyChanges(absl::Span<const stored_row> Rows,
-                                       uint64_t Version);
+                                       store_position Position);
 
-  /// Applies single changes that a peer forwarded.
-  void applyForwarded(absl::Span<const stored_row> Rows);
+  /// Applies single changes of \p Era that a peer forwarded; those of another
+  /// era than the content's are ignored.
+  void applyForwarded(absl::Span<const stored_row> Rows, uint64_t Era);
 
   /// Applies what was fetched from a peer.
   void applyContent(const table_content &Content);
@@ -73,8 +81,8 @@
   /// replica lacks.
   bool includes(const table_status &Status);
 
-  /// The content for a peer that has every change up to \p Version.
-  table_content contentAfter(uint64_t Version) const;
+  /// The content for a peer that has every change up to \p Position.
+  table_content contentAfter(store_position Position) const;
 
   table_status status() const { return {Known, Digest}; }
   bool hasContent() const { return HasContent; }
@@ -92,6 +100,8 @@
 
   /// True if the digest changed.
   bool apply(const stored_row &Row);
+  /// Empties the replica for the content of a later era.
+  void startEra(uint64_t Era);
   bool isOutdated(const stored_row &Row) const;
   void put(const stored_row &Row);
   bool removeRow(const std::string &Key, uint64_t Version);
@@ -107,7 +117,7 @@
   std::map<std::string, uint64_t> Removals;
   /// The changes after this version are known one by one.
   uint64_t ChangesSince = 0;
-  uint64_t Known = 0;
+  store_position Known;
   uint32_t Digest = 0;
   bool HasContent = false;
 };
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -266,6 +266,7 @@
   Line.Workspace =
       Workspace != nullptr ? std::string_view(Workspace->Name) : "";
   Line.ConfigurationVersion = Routes ? Routes->version() : 0;
+  Line.StoreEra = Gateway.storeEra();
   Line.Sends = Attempts.size();
   Line.Took = Took;
   logRequestOutcome(Line);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -262,21 +262,26 @@
                 {{"detail", std::string(Read.status().message())}});
     return;
   }
-  const uint64_t InForce = Routes ? Routes->version() : 0;
-  if (Routes && Read->Version <= InForce) {
-    if (Read->Version < InForce)
-      common::log(log_level::Warning, Component, "older configuration ignored",
-                  {{"version", Read->Version},
-                   {"in_force", InForce},
-                   {"store_version", Row.Version}});
+  const uint64_t Before = Routes ? Routes->version() : 0;
+  const fleet::configuration_offer Offer = {
+      Read->Version,
+      common::stableHash(Row.Value),
+      {Store->eraOf(fleet::table_id::Configuration), Row.Version}};
+  const fleet::offer_decision Decision = Accepted.offer(Offer);
+  if (Decision == fleet::offer_decision::InForce)
     return;
-  }
-  common::log(log_level::Info, Component, "configuration applied",
+  const bool IsAccepted = Decision == fleet::offer_decision::Accepted;
+  common::log(IsAccepted ? log_level::Info : log_level::Warning, Component,
+              IsAccepted ? "configuration applied"
+                         : "older configuration ignored",
               {{"version", Read->Version},
-               {"before", InForce},
-               {"store_version", Row.Version},
+               {"before", Before},
+               {"store_era", Offer.Position.Era},
+               {"store_version", Offer.Position.Version},
                {"routes", Read->Routes.size()},
                {"workspaces", Read->Workspaces.size()}});
+  if (!IsAccepted)
+    return;
   Routes = routing::route_table::build(std::move(*Read));
   RoutesSince = Loop.now();
   Splits.keepOnly(Routes->configurationInForce());
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -9,6 +9,7 @@
 #include <absl/status/statusor.h>
 
 #include "Common/Metrics.h"
+#include "Fleet/AcceptedConfiguration.h"
 #include "Gateway/FleetAgent.h"
 #include "Gateway/HeaderNames.h"
 #include "Gateway/Settings.h"
@@ -103,6 +104,10 @@
   fleet::table_hooks configurationHooks();
   fleet::table_hooks targetHooks();
   void applyConfiguration(const stored_row &Row);
+  /// The era of the store in which the configuration in force was last read.
+  uint64_t storeEra() const {
+    return Accepted.inForce() ? Accepted.inForce()->Position.Era : 0;
+  }
   void logTarget(const placement::target_entry &Entry) const;
   placement::store_availability storeAvailability() const;
   void applyTarget(const stored_row &Row);
@@ -147,6 +152,7 @@
   const std::shared_ptr<message::body_budget> ResponseBodies;
   std::unique_ptr<fleet_agent> Fleet;
   std::unique_ptr<store_sharing> Store;
+  fleet::accepted_configuration Accepted;
   std::shared_ptr<const routing::route_table> Routes;
   boot_time RoutesSince;
   routing::split_chooser Splits;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -90,6 +90,9 @@
   add(Samples, "magnolia_configuration_version",
       "Version of the configuration in force.",
       Routes ? static_cast<double>(Routes->version()) : 0);
+  add(Samples, "magnolia_store_era",
+      "How often the store was restored, as of the configuration in force.",
+      static_cast<double>(storeEra()));
   add(Samples, "magnolia_configuration_age_seconds",
       "Time since the configuration in force was taken.",
       Routes ? secondsOf(Loop.now() - RoutesSince) : 0);
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -97,6 +97,7 @@
                {"service", Line.Service},
                {"workspace", Line.Workspace},
                {"configuration", Line.ConfigurationVersion},
+               {"store_era", Line.StoreEra},
                {"sends", Line.Sends},
                {"took_ms", millis(Line.Took)}});
 }
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -55,6 +55,8 @@
   std::string_view Service;
   std::string_view Workspace;
   uint64_t ConfigurationVersion = 0;
+  /// The era of the store from which that was read.
+  uint64_t StoreEra = 0;
   size_t Sends = 0;
   duration Took{0};
 };
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -75,6 +75,9 @@
   /// Entries that expired while the store was unavailable may reappear within
   /// this time.
   duration ExpiryGrace = std::chrono::milliseconds(2300);
+  /// Time for which a backup waits for the content of a restored store from
+  /// others before it reads the store.
+  duration BackupSnapshotDelay = std::chrono::milliseconds(800);
 };
 
 /// Status updates to peers.
--- a/Source/Gateway/Store.h
+++ b/Source/Gateway/Store.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,9 +27,8 @@
 struct store_reply {
   store_result Result = store_result::NoReply;
   std::vector<stored_row> Rows;
-  /// How often the store has been restored from an older copy; versions of
-  /// different eras cannot be compared. Zero if the reply does not say.
-  uint64_t Era = 0;
+  /// As in store_position; none if the reply does not say.
+  std::optional<uint64_t> Era;
   /// The store's newest version.
   uint64_t Version = 0;
   /// More rows follow the last one.
--- a/Source/Gateway/StoreSharing.cpp
+++ b/Source/Gateway/StoreSharing.cpp
@@ -48,6 +48,8 @@
 constexpr int Unavailable = 503;
 /// Follows the path of a table; the version up to which the peer has the table.
 constexpr std::string_view AfterQuery = "?after=";
+/// Follows the version; its era.
+constexpr std::string_view EraQuery = "&era=";
 
 constexpr std::array<std::string_view, fleet::TableCount> Paths = {
     "/configuration", "/targets"};
@@ -56,14 +58,20 @@
   return Paths.at(static_cast<size_t>(Id));
 }
 
-uint64_t versionAfter(std::string_view Target) {
-  uint64_t Version = 0;
-  const size_t Query = Target.find(AfterQuery);
-  if (Query != std::string_view::npos &&
-      !absl::SimpleAtoi(
-          common::toAbsl(Target.substr(Query + AfterQuery.size())), &Version))
-    return 0;
-  return Version;
+std::string contentPath(table_id Id, fleet::store_position After) {
+  return absl::StrCat(common::toAbsl(pathOf(Id)), common::toAbsl(AfterQuery),
+                      After.Version, common::toAbsl(EraQuery), After.Era);
+}
+
+/// The position up to which a peer has the table; zero if it does not say.
+fleet::store_position positionFrom(std::string_view Target) {
+  fleet::store_position After;
+  const auto Version = message::queryParameter(Target, "after");
+  const auto Era = message::queryParameter(Target, "era");
+  if (!Version || !absl::SimpleAtoi(*Version, &After.Version) || !Era ||
+      !absl::SimpleAtoi(*Era, &After.Era))
+    return {};
+  return After;
 }
 
 size_t sizeOf(const stored_row &Row) {
@@ -86,12 +94,18 @@
 void store_sharing::addTable(table_id Id, store_table Table,
                              fleet::table_hooks TableHooks) {
   replica &Replica = table(Id);
+  TableHooks.OnRestored = [this, Owner = std::move(TableHooks.OnRestored)] {
+    ReplacedAt = Loop.now();
+    if (Owner)
+      Owner();
+  };
   Replica.Copy = std::make_unique<fleet::shared_table>(std::move(TableHooks));
   follower_hooks FollowerHooks;
   FollowerHooks.OnChanges = [this, Id](const std::vector<stored_row> &Rows) {
     forward(Id, Rows);
   };
   FollowerHooks.OnSnapshot = [this] { Hooks.Announce(); };
+  FollowerHooks.OnRestored = [this](uint64_t Era) { onRestored(Era); };
   FollowerHooks.OnAvailability = [this, Id](bool Unavailable) {
     common::log(Unavailable ? log_level::Warning : log_level::Info, Component,
                 Unavailable ? "store unavailable" : "store available again",
@@ -187,7 +201,18 @@
                              Loop.now(), Settings.Identity.FailureDomain);
 }
 
+void store_sharing::onRestored(uint64_t Era) {
+  if (Era <= NoticedEra)
+    return;
+  NoticedEra = Era;
+  if (Hooks.OnRestored)
+    Hooks.OnRestored();
+}
+
 bool store_sharing::storeSteady() const {
+  // What a copy lacks may be written again.
+  if (ReplacedAt && Loop.now() - *ReplacedAt < Settings.Follow.ExpiryGrace)
+    return false;
   return isSteady(reading()) || Peers.othersReadSteadily(Loop.now());
 }
 
@@ -205,6 +230,7 @@
     return;
   fleet::rows_message Message;
   Message.Table = Id;
+  Message.Era = eraOf(Id);
   size_t Size = 0;
   const auto Flush = [&] {
     if (!Message.Rows.empty())
@@ -227,7 +253,7 @@
 }
 
 void store_sharing::applyForwarded(const fleet::rows_message &Rows) {
-  table(Rows.Table).Copy->applyForwarded(Rows.Rows);
+  table(Rows.Table).Copy->applyForwarded(Rows.Rows, Rows.Era);
 }
 
 void store_sharing::onUpdate(const fleet::peer & /*Peer*/,
@@ -244,7 +270,7 @@
     return;
   if (!Replica.isBehind())
     Replica.BehindSince = Loop.now();
-  if (Status.Version > Replica.Behind.Version)
+  if (Status.Position > Replica.Behind.Position)
     Replica.Behind = Status;
   scheduleFetch(Id);
 }
@@ -284,10 +310,10 @@
 store_sharing::sources store_sharing::sourcesOf(table_id Id) const {
   sources Sources;
   const boot_time Now = Loop.now();
-  const uint64_t Version = table(Id).Copy->status().Version;
+  const fleet::store_position Position = table(Id).Copy->status().Position;
   for (const auto &[Name, Peer] : Peers.peers()) {
     const fleet::table_status &Status = Peer.Tables.at(static_cast<size_t>(Id));
-    if (Status.Version <= Version || !Peers.isReachable(Peer, Now))
+    if (Status.Position <= Position || !Peers.isReachable(Peer, Now))
       continue;
     (isNear(Peer) ? Sources.Near : Sources.Far).push_back(&Peer);
   }
@@ -305,9 +331,7 @@
   replica &Replica = table(Id);
   Replica.Fetch = Connection;
   message::client_hooks FetchHooks;
-  const std::string Target =
-      absl::StrCat(common::toAbsl(pathOf(Id)), common::toAbsl(AfterQuery),
-                   Replica.Copy->status().Version);
+  const std::string Target = contentPath(Id, Replica.Copy->status().Position);
   FetchHooks.OnConnected = [Target, Raw = Connection.get()] {
     message::request Request;
     Request.Method = "GET";
@@ -367,7 +391,7 @@
     if (Call.Request.path() != Paths.at(Index) || !Replica.Copy->hasContent())
       continue;
     const fleet::table_content Content =
-        Replica.Copy->contentAfter(versionAfter(Call.Request.Target));
+        Replica.Copy->contentAfter(positionFrom(Call.Request.Target));
     const boot_time Now = Loop.now();
     if (!Content.ChangesOnly && Now - Replica.FullServedAt < FullServePeriod) {
       Response.Status = Unavailable;
--- a/Source/Gateway/StoreSharing.h
+++ b/Source/Gateway/StoreSharing.h
@@ -33,6 +33,8 @@
     std::function<void()> Announce;
     /// The same to those of the own failure domain.
     std::function<void()> AnnounceInDomain;
+    /// This instance found that the store was restored from an older copy.
+    std::function<void()> OnRestored;
   };
 
   store_sharing(event::event_loop &Loop, const settings &Settings,
@@ -64,6 +66,11 @@
   /// their rows.
   bool storeSteady() const;
 
+  /// The era of the content of a table.
+  uint64_t eraOf(fleet::table_id Id) const {
+    return table(Id).Copy->status().Position.Era;
+  }
+
 private:
   /// The replica of one table and its follower.
   struct replica {
@@ -80,7 +87,7 @@
     /// When a peer was last served the full table.
     boot_time FullServedAt;
 
-    bool isBehind() const { return Copy->status().Version < Behind.Version; }
+    bool isBehind() const { return Copy->status().Position < Behind.Position; }
   };
 
   /// Reachable peers that may have changes that the replica lacks.
@@ -92,6 +99,8 @@
 
   void addTable(fleet::table_id Id, store_table Table,
                 fleet::table_hooks TableHooks);
+  /// Takes notice of a restored store, once for all tables.
+  void onRestored(uint64_t Era);
   void updateReading();
   void scheduleReadingUpdate();
   bool allLoaded() const;
@@ -126,6 +135,10 @@
   const boot_time Started;
   std::array<replica, fleet::TableCount> Tables;
   absl::InsecureBitGen Random;
+  /// When a table was last replaced by that of a restored store.
+  std::optional<boot_time> ReplacedAt;
+  /// The era of the last restore that this instance found.
+  uint64_t NoticedEra = 0;
   /// Time since which too few others read the store.
   std::optional<boot_time> UncoveredSince;
   fleet::reading_state AnnouncedState = fleet::reading_state::NotReading;
--- a/Source/Gateway/TableFollower.cpp
+++ b/Source/Gateway/TableFollower.cpp
@@ -22,39 +22,51 @@
     return;
   Running = true;
   Confirmed = false;
-  if (Copy.hasContent())
-    NeedsSnapshot = false;
+  HistoryLost = false;
   next();
 }
 
+bool table_follower::needsSnapshot() const {
+  return HistoryLost || !Copy.hasContent() ||
+         Copy.status().Position.Era < NewestEra;
+}
+
 void table_follower::next() {
   if (!Enabled) {
     Running = false;
     return;
   }
-  if (NeedsSnapshot)
+  if (needsSnapshot())
     readSnapshot("");
   else
     follow();
 }
 
 void table_follower::readSnapshot(const std::string &From) {
-  if (From.empty()) {
+  if (From.empty())
     Pages.clear();
-    PagesVersion = 0;
-  }
   Table.Read(From, [this](store_reply Reply) { onPage(std::move(Reply)); });
 }
 
 void table_follower::onPage(store_reply Reply) {
+  noteEra(Reply);
   if (Reply.Result != store_result::Done) {
-    onFailure(Reply);
+    onFailure();
+    return;
+  }
+  const uint64_t Era = Reply.Era.value_or(Copy.status().Position.Era);
+  if (Era < NewestEra) {
+    continueAfter(nextRetryDelay());
     return;
   }
   // The feed is followed from the version of the first page, so changes between
   // two pages are seen.
-  if (PagesVersion == 0)
-    PagesVersion = Reply.Version;
+  if (Pages.empty())
+    PagesPosition = {Era, Reply.Version};
+  if (Era != PagesPosition.Era) {
+    readSnapshot("");
+    return;
+  }
   const bool More = Reply.Truncated && !Reply.Rows.empty();
   std::string Next;
   if (More)
@@ -65,14 +77,17 @@
     return;
   }
   onSuccess();
-  NeedsSnapshot = false;
+  HistoryLost = false;
+  SnapshotUnconfirmed = true;
+  const fleet::store_position Known = Copy.status().Position;
   common::log(common::log_level::Info, Component, "table read",
               {{"table", Name},
-               {"era", Reply.Era},
-               {"version", PagesVersion},
-               {"known_version", Copy.status().Version},
+               {"era", PagesPosition.Era},
+               {"version", PagesPosition.Version},
+               {"known_era", Known.Era},
+               {"known_version", Known.Version},
                {"rows", Pages.size()}});
-  Copy.applySnapshot(Pages, PagesVersion);
+  Copy.applySnapshot(Pages, PagesPosition);
   Pages.clear();
   Hooks.OnSnapshot();
   next();
@@ -80,18 +95,66 @@
 
 void table_follower::follow() {
   const duration Wait = Confirmed ? Settings.Wait : FirstFollowWait;
-  Table.Follow(Copy.status().Version, Wait, [this](const store_reply &Reply) {
-    if (Reply.Result == store_result::Done)
-      onChanges(Reply);
-    else
-      onFailure(Reply);
+  const fleet::store_position Asked = Copy.status().Position;
+  Table.Follow(Asked.Version, Wait, [this, Asked](const store_reply &Reply) {
+    onFeedReply(Reply, Asked);
   });
 }
 
-void table_follower::onChanges(const store_reply &Reply) {
+void table_follower::noteEra(const store_reply &Reply) {
+  if (!Reply.Era || *Reply.Era <= NewestEra)
+    return;
+  NewestEra = *Reply.Era;
+  const fleet::store_position Known = Copy.status().Position;
+  if (!Copy.hasContent() || Known.Era >= NewestEra)
+    return;
+  common::log(common::log_level::Warning, Component,
+              "store was restored from an older copy",
+              {{"table", Name},
+               {"era", NewestEra},
+               {"known_era", Known.Era},
+               {"known_version", Known.Version}});
+  Hooks.OnRestored(NewestEra);
+}
+
+void table_follower::onFeedReply(const store_reply &Reply,
+                                 fleet::store_position Asked) {
+  noteEra(Reply);
+  const bool Answered = Reply.Result == store_result::Done ||
+                        Reply.Result == store_result::HistoryLost;
+  const uint64_t Era = Reply.Era.value_or(Asked.Era);
+  if (!Answered)
+    onFailure();
+  else if (Era > Asked.Era)
+    onRestored();
+  else if (Era < Asked.Era)
+    // It was on its way since before the restore.
+    continueAfter(Settings.InitialRetryDelay);
+  else if (Reply.Result == store_result::HistoryLost)
+    onHistoryLost(Reply);
+  else
+    onChanges(Reply, Asked);
+}
+
+void table_follower::onRestored() {
   onSuccess();
+  // Entries that the copy lacks may come back within the grace time.
+  ConfirmedSince = Loop.now();
+  // The instances that others rely on read the table; the others fetch it from
+  // them, if they can.
+  if (Backup)
+    continueAfter(Settings.BackupSnapshotDelay);
+  else
+    next();
+}
+
+void table_follower::onChanges(const store_reply &Reply,
+                               fleet::store_position Asked) {
+  onSuccess();
+  SnapshotUnconfirmed = false;
+  RetryDelay = duration::zero();
   const std::vector<stored_row> NewRows =
-      Copy.applyChanges(Reply.Rows, Reply.Version);
+      Copy.applyChanges(Reply.Rows, {Asked.Era, Reply.Version});
   if (!NewRows.empty())
     Hooks.OnChanges(NewRows);
   // Changes in quick succession are read together.
@@ -105,7 +168,6 @@
   if (!Confirmed)
     ConfirmedSince = Loop.now();
   Confirmed = true;
-  RetryDelay = duration::zero();
   if (!Unavailable)
     return;
   Unavailable = false;
@@ -127,27 +189,35 @@
   return Long ? fleet::reading_state::LongSteady : fleet::reading_state::Steady;
 }
 
-void table_follower::onFailure(const store_reply &Reply) {
-  if (Reply.Result == store_result::HistoryLost) {
-    common::log(common::log_level::Info, Component,
-                "store has no changes after the known version",
-                {{"table", Name},
-                 {"era", Reply.Era},
-                 {"known_version", Copy.status().Version}});
-    NeedsSnapshot = true;
+void table_follower::onHistoryLost(const store_reply &Reply) {
+  common::log(common::log_level::Info, Component,
+              "store has no changes after the known version",
+              {{"table", Name},
+               {"era", Reply.Era.value_or(0)},
+               {"known_version", Copy.status().Position.Version}});
+  HistoryLost = true;
+  // A store that keeps no history is not read in a loop without pauses.
+  if (SnapshotUnconfirmed)
+    continueAfter(nextRetryDelay());
+  else
     next();
-    return;
-  }
+}
+
+void table_follower::onFailure() {
   EverUnavailable = true;
   if (!Unavailable) {
     Unavailable = true;
     Hooks.OnAvailability(true);
   }
+  continueAfter(nextRetryDelay());
+}
+
+duration table_follower::nextRetryDelay() {
   const duration Longest =
       Backup ? Settings.MaxBackupRetryDelay : Settings.MaxRetryDelay;
   RetryDelay = std::clamp(RetryDelay * 2, Settings.InitialRetryDelay, Longest);
   const double Jitter = absl::Uniform(Random, 0.5, 1.0);
-  continueAfter(std::chrono::duration_cast<duration>(RetryDelay * Jitter));
+  return std::chrono::duration_cast<duration>(RetryDelay * Jitter);
 }
 
 void table_follower::continueAfter(duration Delay) {
--- a/Source/Gateway/TableFollower.h
+++ b/Source/Gateway/TableFollower.h
@@ -20,14 +20,16 @@
   std::function<void(const std::vector<stored_row> &Rows)> OnChanges;
   /// A complete snapshot was read from the store.
   std::function<void()> OnSnapshot;
+  /// The store was found to be restored from an older copy.
+  std::function<void(uint64_t Era)> OnRestored;
   /// The store became unavailable or available.
   std::function<void(bool Unavailable)> OnAvailability;
 };
 
 /// Keeps an instance's replica of one table up to date from the store while
 /// enabled: reads a snapshot, then follows the changes, and reads a new
-/// snapshot when the store no longer has them. Keeps the replica while the
-/// store is unavailable.
+/// snapshot when the store no longer has them or was restored from a copy.
+/// Keeps the replica while the store is unavailable.
 class table_follower {
 public:
   /// \p Name: of the table, for the log.
@@ -55,10 +57,18 @@
   void next();
   void readSnapshot(const std::string &From);
   void onPage(store_reply Reply);
+  bool needsSnapshot() const;
   void follow();
-  void onChanges(const store_reply &Reply);
-  void onFailure(const store_reply &Reply);
+  /// \p Asked: the position after which the changes were requested.
+  void onFeedReply(const store_reply &Reply, fleet::store_position Asked);
+  void onChanges(const store_reply &Reply, fleet::store_position Asked);
+  /// Takes notice of the era that a reply names.
+  void noteEra(const store_reply &Reply);
+  void onRestored();
+  void onHistoryLost(const store_reply &Reply);
+  void onFailure();
   void onSuccess();
+  duration nextRetryDelay();
   void continueAfter(duration Delay);
 
   event::event_loop &Loop;
@@ -69,7 +79,10 @@
   const follower_hooks Hooks;
   absl::InsecureBitGen Random;
   std::vector<stored_row> Pages;
-  uint64_t PagesVersion = 0;
+  /// Of the first page.
+  fleet::store_position PagesPosition;
+  /// The newest era that a reply named.
+  uint64_t NewestEra = 0;
   boot_time AvailableSince;
   boot_time ConfirmedSince;
   duration RetryDelay{0};
@@ -77,7 +90,9 @@
   bool Running = false;
   /// Whether a call has succeeded since it was enabled.
   bool Confirmed = false;
-  bool NeedsSnapshot = true;
+  bool HistoryLost = false;
+  /// No call for changes has succeeded since the last snapshot.
+  bool SnapshotUnconfirmed = false;
   bool EverUnavailable = false;
   bool Unavailable = false;
   bool Backup = false;
--- a/Source/UnitTests/Fleet/FleetMessageTest.cpp
+++ b/Source/UnitTests/Fleet/FleetMessageTest.cpp
@@ -24,7 +24,7 @@
     update_message Update;
     Update.Boot = 4711;
     Update.State = instance_state::Ready;
-    Update.Tables = {{{12, 3000000000U}, {400, 7}}};
+    Update.Tables = {{{{1, 12}, 3000000000U}, {{2, 400}, 7}}};
     Update.Reading = reading_state::Failing;
     Update.Workspaces = {{1, 20}, {4000000000U, 3}};
     Update.Services = {{7, 100, 9, 2}};
@@ -59,7 +59,7 @@
     const auto Read = decode(encode(Update));
     REQUIRE(Read.ok());
     CHECK(std::get<update_message>(*Read).Tables == Update.Tables);
-    Update.Tables = {{{100000, 3000000000U}, {100000, 3000000000U}}};
+    Update.Tables = {{{{1, 100000}, 3000000000U}, {{1, 100000}, 3000000000U}}};
     CHECK(encode(Update).size() >= Short + 20);
   }
   SUBCASE("carry urgent evidence alone") {
@@ -88,12 +88,13 @@
   SUBCASE("carry rows and what peers fetch") {
     const std::vector<stored_row> Rows = {{"a", "v", 5, false},
                                           {"b", "", 6, true}};
-    const auto Read = decode(encode(rows_message{table_id::Targets, Rows}));
+    const auto Read = decode(encode(rows_message{table_id::Targets, 3, Rows}));
     REQUIRE(Read.ok());
+    CHECK(std::get<rows_message>(*Read).Era == 3);
     CHECK(std::get<rows_message>(*Read).Rows == Rows);
-    const auto Content = decodeContent(encodeContent({9, true, Rows}));
+    const auto Content = decodeContent(encodeContent({{3, 9}, true, Rows}));
     REQUIRE(Content.ok());
-    CHECK(Content->Version == 9);
+    CHECK(Content->Position == store_position{3, 9});
     CHECK(Content->ChangesOnly);
     CHECK(Content->Rows == Rows);
     CHECK_FALSE(decodeContent("no table").ok());
--- /dev/null
+++ b/Spec/Table/Restored.pml
@@ -0,0 +1,4 @@
+/* The replica of a table whose store is restored from an older copy. */
+
+#define RESTORED
+#include "Table.pml"
