A restored store: registrations of instances that it lost are written again

Instances saw: a row of an instance that had registered in the lost seconds was gone for good, so that an instance that started later did not find it in the store.

Cause: an instance writes its row once, at its start, and took the acknowledgement for final.

Change: an instance that finds the store restored reads the list and writes the missing rows, its own and those of reachable peers, in one call. The readers on which others rely do so at once; others only if they still read the store 3.5 s later.

One call more for each reader and restore, two if rows are missing.

--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -1,5 +1,6 @@
 #include "Gateway/FleetAgent.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/random/random.h>
 #include <nlohmann/json.hpp>
 
@@ -11,6 +12,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds RegisterRetryDelay{500};
+/// After an outage of the store, the instances that stop reading it have done
+/// so within this time.
+constexpr std::chrono::milliseconds ReadersSettleTime{3500};
 /// The registered instances are read again at this period, in case the hello
 /// messages of two instances were lost in both directions.
 constexpr std::chrono::seconds RereadPeriod{20};
@@ -109,16 +113,19 @@
   Loop.callEvery(Settings.Updates.Period, [this] { sendPeriodicUpdates(); });
   Loop.callEvery(RereadPeriod, [this] {
     // Others learn from the updates of instances that they do not know.
-    const bool Preferred = fleet::decideReader(*Peers, Settings.Identity.Name,
-                                               Settings.Readers, Loop.now())
-                               .Preferred;
-    if (Preferred || !InstancesRead)
+    if (isPreferredReader() || !InstancesRead)
       readInstances();
   });
 }
 
+bool fleet_agent::isPreferredReader() const {
+  return fleet::decideReader(*Peers, Settings.Identity.Name, Settings.Readers,
+                             Loop.now())
+      .Preferred;
+}
+
 void fleet_agent::registerInstance() {
-  Instances.Write(Settings.Identity.Name, encodeIdentity(Settings.Identity),
+  Instances.Write({{Settings.Identity.Name, encodeIdentity(Settings.Identity)}},
                   [this](const store_reply &Reply) {
                     if (Reply.Result == store_result::Done) {
                       Registered = true;
@@ -154,6 +161,55 @@
   });
 }
 
+void fleet_agent::restoreRegistrations() {
+  if (isPreferredReader()) {
+    writeMissingRegistrations();
+    return;
+  }
+  Loop.callAfter(ReadersSettleTime, [this] {
+    if (Hooks.IsReading())
+      writeMissingRegistrations();
+  });
+}
+
+void fleet_agent::writeMissingRegistrations() {
+  const auto Retry = [this] {
+    Loop.callAfter(RegisterRetryDelay, [this] { writeMissingRegistrations(); });
+  };
+  Instances.Read("", [this, Retry](const store_reply &Reply) {
+    if (Reply.Result != store_result::Done) {
+      Retry();
+      return;
+    }
+    const std::vector<row_write> Missing = missingRegistrations(Reply.Rows);
+    if (Missing.empty())
+      return;
+    common::log(common::log_level::Info, "Fleet", "registrations written again",
+                {{"count", Missing.size()}, {"era", Reply.Era.value_or(0)}});
+    Instances.Write(Missing, [Retry](const store_reply &Written) {
+      if (Written.Result != store_result::Done)
+        Retry();
+    });
+  });
+}
+
+std::vector<row_write>
+fleet_agent::missingRegistrations(absl::Span<const stored_row> Rows) const {
+  absl::flat_hash_set<std::string> Present;
+  for (const stored_row &Row : Rows)
+    Present.insert(Row.Key);
+  std::vector<row_write> Missing;
+  const auto Check = [&](const fleet::instance_identity &Identity) {
+    if (!Present.contains(Identity.Name) && Missing.size() < MaxWrittenRows)
+      Missing.push_back({Identity.Name, encodeIdentity(Identity)});
+  };
+  Check(Settings.Identity);
+  for (const auto &[Name, Peer] : Peers->peers())
+    if (Peers->isReachable(Peer, Loop.now()))
+      Check(Peer.Identity);
+  return Missing;
+}
+
 void fleet_agent::sendHello(const sockaddr_in &To, bool WantsReply) {
   fleet::hello_message Hello;
   Hello.Boot = Boot;
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -68,6 +68,11 @@
   /// Registers this instance in the store and discovers the others.
   void start();
 
+  /// Writes the registrations again that the store lost when it was restored
+  /// from an older copy: this instance's and those of its peers. Of the
+  /// instances that read the store, the others wait to see who still does.
+  void restoreRegistrations();
+
   /// Sends an update to all peers within milliseconds, for example when this
   /// instance starts draining.
   void announce();
@@ -122,6 +127,14 @@
               hooks Hooks);
   void registerInstance();
   void readInstances();
+  /// Whether this instance is one of those on which the others rely for the
+  /// store.
+  bool isPreferredReader() const;
+  void writeMissingRegistrations();
+  /// The identities of this instance and its reachable peers that are not among
+  /// \p Rows.
+  std::vector<row_write>
+  missingRegistrations(absl::Span<const stored_row> Rows) const;
   void onReceive(const sockaddr_in &From, std::string_view Bytes);
   /// Applies a message that is no bundle.
   void apply(const sockaddr_in &From, const fleet::message &Message);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -138,6 +138,7 @@
   Hooks.Send = [this](const fleet::rows_message &Rows) { Fleet->send(Rows); };
   Hooks.Announce = [this] { Fleet->announce(); };
   Hooks.AnnounceInDomain = [this] { Fleet->announceInDomain(); };
+  Hooks.OnRestored = [this] { Fleet->restoreRegistrations(); };
   Store = std::make_unique<store_sharing>(
       Loop, Settings, Fleet->peers(), Environment.Configuration,
       Environment.Targets, std::move(Hooks));
--- a/Source/Gateway/Store.h
+++ b/Source/Gateway/Store.h
@@ -35,6 +35,15 @@
   bool Truncated = false;
 };
 
+/// A row that is written.
+struct row_write {
+  std::string Key;
+  std::string Value;
+};
+
+/// Rows in one transaction.
+constexpr size_t MaxWrittenRows = 100;
+
 using store_callback = std::function<void(store_reply Reply)>;
 
 /// One table of the store. Calls return immediately; the callback is always
@@ -47,7 +56,8 @@
   std::function<void(uint64_t After, common::boot_clock::duration Wait,
                      store_callback OnReply)>
       Follow;
-  std::function<void(const std::string &Key, const std::string &Value,
+  /// Sets all rows, at most MaxWrittenRows, in one transaction.
+  std::function<void(const std::vector<row_write> &Rows,
                      store_callback OnReply)>
       Write;
 };
