A restored store: targets that were removed since the copy get no work from it

Targets saw: after the store came back from an older copy, the entry of a target that had left brought it back into use, until the store dropped it again.

The registry compared it only with entries that it still had.

An entry of the same incarnation that comes with a restored store is held back until the target reports again, or until the entry has stayed for longer than a dead target's does. Missing entries get the grace time anew at each restore.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -32,7 +32,8 @@
 gateway::gateway(event::event_loop &Loop, settings Given, environment Provided)
     : Loop(Loop), Settings(std::move(Given)), Environment(std::move(Provided)),
       TargetSet(Settings.Placement, Settings.Identity.FailureDomain),
-      TargetRegistry(Settings.Follow.ExpiryGrace,
+      TargetRegistry({.ExpiryGrace = Settings.Follow.ExpiryGrace,
+                      .DeadEntryLifetime = Settings.Follow.DeadEntryLifetime},
                      {[this](const placement::target_entry &Entry) {
                         logTarget(Entry);
                         TargetSet.put(Entry, this->Loop.now());
@@ -222,6 +223,7 @@
     return Entry.ok() ? placement::identityHash(*Entry)
                       : common::stableHash(Row.Value);
   };
+  Hooks.OnRestored = [this] { TargetRegistry.beginRestored(Loop.now()); };
   Hooks.OnSnapshot = [this](const std::vector<stored_row> &Rows) {
     std::vector<std::string> Ids;
     for (const stored_row &Row : Rows) {
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -78,6 +78,8 @@
   /// Time for which a backup waits for the content of a restored store from
   /// others before it reads the store.
   duration BackupSnapshotDelay = std::chrono::milliseconds(800);
+  /// The store removes the entry of a dead target within this time.
+  duration DeadEntryLifetime = std::chrono::milliseconds(6000);
 };
 
 /// Status updates to peers.
--- a/Source/UnitTests/Placement/TargetRegistryTest.cpp
+++ b/Source/UnitTests/Placement/TargetRegistryTest.cpp
@@ -15,13 +15,13 @@
   std::vector<std::string> Removed;
   int Changes = 0;
   bool LastDraining = false;
-  target_registry Registry(milliseconds(2300), {[&](const target_entry &Entry) {
-                                                  ++Changes;
-                                                  LastDraining = Entry.Draining;
-                                                },
-                                                [&](const std::string &Id) {
-                                                  Removed.push_back(Id);
-                                                }});
+  target_registry Registry(
+      {.ExpiryGrace = milliseconds(2300), .DeadEntryLifetime = seconds(6)},
+      {[&](const target_entry &Entry) {
+         ++Changes;
+         LastDraining = Entry.Draining;
+       },
+       [&](const std::string &Id) { Removed.push_back(Id); }});
   boot_time Now(seconds(10));
   target_entry Entry;
   Entry.Id = "a";
@@ -82,4 +82,70 @@
     Registry.put(Entry);
     CHECK(Changes == 2);
   }
+
+  const std::string Known = Entry.Id;
+  const std::vector<std::string> Listed = {Known};
+  const auto Restore = [&] {
+    Registry.beginRestored(Now);
+    Registry.put(Entry);
+    Registry.keepOnly(Listed, Interrupted, Now);
+  };
+
+  SUBCASE("uses no target that was removed before the store was restored") {
+    Registry.remove("a", Uninterrupted, Now);
+    Restore();
+    CHECK_FALSE(Registry.contains("a"));
+
+    SUBCASE("also not when the same entry is read once more") {
+      Registry.put(Entry);
+      Registry.keepOnly(Listed, Interrupted, Now);
+      CHECK_FALSE(Registry.contains("a"));
+    }
+    SUBCASE("until it reports again") {
+      ++Entry.Sequence;
+      Registry.put(Entry);
+      CHECK(Registry.contains("a"));
+    }
+    SUBCASE("or starts anew") {
+      Entry.StartedUnixMs = 2000;
+      Entry.Sequence = 1;
+      Registry.put(Entry);
+      CHECK(Registry.contains("a"));
+    }
+    SUBCASE("or its entry outlives that of a dead target") {
+      Registry.advance(Uninterrupted, Now + milliseconds(5900));
+      CHECK_FALSE(Registry.contains("a"));
+      Registry.advance(Uninterrupted, Now + seconds(6));
+      CHECK(Registry.contains("a"));
+    }
+    SUBCASE("and forgets it when its entry is removed again") {
+      Registry.remove("a", Uninterrupted, Now);
+      Registry.advance(Uninterrupted, Now + seconds(7));
+      CHECK_FALSE(Registry.contains("a"));
+    }
+  }
+  SUBCASE("uses a removed target that reports again in the same era") {
+    Registry.remove("a", Uninterrupted, Now);
+    Registry.put(Entry);
+    CHECK(Registry.contains("a"));
+  }
+  SUBCASE("keeps the state of a target that a restored store has older") {
+    Entry.Sequence = 6;
+    Entry.Draining = true;
+    Registry.put(Entry);
+    Entry.Sequence = 5;
+    Entry.Draining = false;
+    Restore();
+    CHECK(LastDraining);
+  }
+  SUBCASE("gives missing targets the grace time anew at a second restore") {
+    Registry.keepOnly({}, Interrupted, Now);
+    Now += seconds(2);
+    Registry.beginRestored(Now);
+    Registry.keepOnly({}, Interrupted, Now);
+    Registry.advance(Interrupted, Now + milliseconds(2200));
+    CHECK(Registry.contains("a"));
+    Registry.advance(Interrupted, Now + milliseconds(2300));
+    CHECK_FALSE(Registry.contains("a"));
+  }
 }
