--- a/Source/Core/Placement/LossFilter.h
+++ b/Source/Core/Placement/LossFilter.h
@@ -24,6 +24,8 @@
   std::string RequestId;
   target_ref Target;
   boot_time SentAt;
+  /// Equal for requests that ask the same of a target.
+  uint64_t Fingerprint = 0;
 };
 
 /// Separates resets by single targets from resets of many connections of this
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -109,6 +109,8 @@
   }
   /// Whether the route allows another attempt after one that failed.
   bool mayBeSentAgain() const { return repeatable() && Route->MaxAttempts > 1; }
+  /// See fingerprintOf().
+  uint64_t fingerprint();
   size_t openAttempts() const;
   duration timeLeft() const { return RespondBy - Gateway.Loop.now(); }
 
@@ -129,6 +131,7 @@
   std::vector<placement::target_key> RefusedBy;
   std::vector<placement::target_key> Unreachable;
   std::optional<message::response> TargetError;
+  std::optional<uint64_t> Fingerprint;
   timer_id DeadlineTimer = 0;
   timer_id PauseTimer = 0;
   bool ReturnedSuccess = false;
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -5,6 +5,7 @@
 
 #include "Common/StringView.h"
 #include "Gateway/Exchange.h"
+#include "Gateway/RequestFingerprint.h"
 #include "Gateway/RequestLog.h"
 #include "Gateway/TargetFeedback.h"
 
@@ -121,6 +122,13 @@
   forwardResponse(std::move(Response));
 }
 
+uint64_t exchange::fingerprint() {
+  if (!Fingerprint)
+    Fingerprint = fingerprintOf(
+        Call->Request, Workspace != nullptr ? Workspace->Name : std::string());
+  return *Fingerprint;
+}
+
 bool exchange::gaveUpAtDeadline(const message::response &Response) const {
   // The target was told a deadline that is earlier by the allowance.
   return Response.Status == GatewayTimeout &&
@@ -200,7 +208,8 @@
 void exchange::onFailure(const attempt_ref &Attempt,
                          message::exchange_failure Failure) {
   if (Failure == message::exchange_failure::Broken)
-    Gateway.onConnectionLost({Id, Attempt->Target, Attempt->SentAt});
+    Gateway.onConnectionLost(
+        {Id, Attempt->Target, Attempt->SentAt, fingerprint()});
   else
     observe(*Attempt, evidence::Broken);
   endAttempt(Attempt, false);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -325,8 +325,7 @@
 }
 
 void gateway::onConnectionLost(placement::lost_connection Lost) {
-  common::log(log_level::Info, Component, "target connection lost",
-              {{"id", Lost.RequestId}, {"target", Lost.Target->Entry.Id}});
+  logConnectionLost(Lost, Loop.now());
   placement::target_set::observePath(*Lost.Target, placement::evidence::Broken,
                                      Lost.SentAt, Loop.now());
   if (!Losses.add(std::move(Lost)))
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/RequestLog.h"
 
+#include <absl/strings/str_cat.h>
+
 #include "Common/Log.h"
 
 namespace magnolia::gateway {
@@ -68,6 +70,15 @@
                {"path_risk_after", rounded(Target.Path.probabilityAt(Now))}});
 }
 
+void logConnectionLost(const placement::lost_connection &Lost, boot_time Now) {
+  common::log(log_level::Info, Component, "target connection lost",
+              {{"id", Lost.RequestId},
+               {"target", Lost.Target->Entry.Id},
+               {"request", absl::StrCat(absl::Hex(Lost.Fingerprint))},
+               {"sent_ms_ago", millis(Now - Lost.SentAt)},
+               {"own_in_flight", Lost.Target->OwnInFlight}});
+}
+
 void logTargetPause(std::string_view Id, const placement::target &Target,
                     duration Pause) {
   common::log(
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -34,6 +34,9 @@
 void logEvidence(std::string_view Id, const placement::target &Target,
                  placement::evidence Evidence, duration Age, boot_time Now);
 
+/// Logs a connection to a target that ended before a complete response.
+void logConnectionLost(const placement::lost_connection &Lost, boot_time Now);
+
 /// Logs that \p Target wants no requests of this instance for \p Pause.
 void logTargetPause(std::string_view Id, const placement::target &Target,
                     duration Pause);
