A request under which targets end one after the other is quarantined

Callers saw: one look-up ended a target each time that it was sent, twice for each attempt of its caller; the targets of a small service were down together, and requests of others failed or were refused.

Cause: what a target was asked is forgotten when the exchange ends, and the caller's next attempt has another id. Nothing in the fleet could recognize the request. The class: a failure was booked on the target alone, though the request can be its cause.

Change: when a connection is lost before a response, the instance finds out whether the target ended (nothing listens at its address; an accepted connection is kept for later requests). If so, the run is recorded under a fingerprint of the request, and reported to peers. After three targets that ended one after the other, the request is refused as not run, with the time to come back: two minutes, doubled with each further target up to an hour. Runs that overlap in time count once, and a request that any target completes is innocent, so that others at the same targets are not taken for it. The quarantine also stands in a row of the instances' table, which each reads at its start anyway. Bounds: 4,096 requests, 16 runs each, eight in an update. The rows that instances keep in the store have their own file now.

--- a/Source/Core/Common/ErrorKind.h
+++ b/Source/Core/Common/ErrorKind.h
@@ -31,6 +31,8 @@
   QueueFull,
   QueueDeadlineExceeded,
   NoTargetAvailable,
+  /// Targets ended one after the other while they ran this request.
+  RequestQuarantined,
   ConfigurationMissing,
   ConfigurationStale,
   InstanceLeaving,
--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -70,6 +70,23 @@
   return Flat;
 }
 
+json toJson(const std::vector<suspect_report> &Suspects) {
+  json Flat = json::array();
+  for (const suspect_report &Report : Suspects) {
+    json Runs = json::array();
+    for (const suspect_report::run &Run : Report.Runs) {
+      Runs.push_back(Run.Target);
+      Runs.push_back(Run.RanMs);
+      Runs.push_back(Run.AgeMs);
+    }
+    Flat.push_back(Report.Fingerprint);
+    Flat.push_back(Report.CompletedAgeMs ? json(*Report.CompletedAgeMs)
+                                         : json());
+    Flat.push_back(std::move(Runs));
+  }
+  return Flat;
+}
+
 json toJson(const events_message &Events) {
   return json::array(
       {EventsKind, Events.Boot, Events.First, toJson(Events.Events)});
@@ -96,10 +113,11 @@
   }
   const int State = static_cast<int>(Update.State) +
                     ReadingFactor * static_cast<int>(Update.Reading);
-  return json::array(
-      {UpdateKind, Update.Boot, State, Update.Number, toJson(Update.Tables),
-       toJson(Update.Workspaces), toJson(Update.Services), std::move(InFlight),
-       Update.FirstEvent, toJson(Update.Events), toJson(Update.Limits)});
+  return json::array({UpdateKind, Update.Boot, State, Update.Number,
+                      toJson(Update.Tables), toJson(Update.Workspaces),
+                      toJson(Update.Services), std::move(InFlight),
+                      Update.FirstEvent, toJson(Update.Events),
+                      toJson(Update.Limits), toJson(Update.Suspects)});
 }
 
 json toJson(absl::Span<const stored_row> Rows) {
@@ -260,6 +278,23 @@
   return Limits;
 }
 
+std::vector<suspect_report> suspectsFrom(const json &Flat) {
+  std::vector<suspect_report> Suspects;
+  for (size_t Index = 0; Index + 2 < Flat.size(); Index += 3) {
+    suspect_report Report;
+    Report.Fingerprint = Flat[Index].get<uint64_t>();
+    if (!Flat[Index + 1].is_null())
+      Report.CompletedAgeMs = Flat[Index + 1].get<uint32_t>();
+    const json &Runs = Flat[Index + 2];
+    for (size_t Run = 0; Run + 2 < Runs.size(); Run += 3)
+      Report.Runs.push_back({Runs[Run].get<uint32_t>(),
+                             Runs[Run + 1].get<uint32_t>(),
+                             Runs[Run + 2].get<uint32_t>()});
+    Suspects.push_back(std::move(Report));
+  }
+  return Suspects;
+}
+
 update_message updateFrom(const json &Value) {
   update_message Update;
   Update.Boot = Value.at(1).get<uint64_t>();
@@ -276,9 +311,11 @@
         {InFlight[Index].get<uint32_t>(), InFlight[Index + 1].get<uint32_t>()});
   Update.FirstEvent = Value.at(8).get<uint64_t>();
   Update.Events = eventsFrom(Value.at(9));
-  // Senders of versions before this field do not report limits.
+  // Senders of versions before these fields do not send them.
   if (Value.size() > 10)
     Update.Limits = limitsFrom(Value[10]);
+  if (Value.size() > 11)
+    Update.Suspects = suspectsFrom(Value[11]);
   return Update;
 }
 
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -111,6 +111,30 @@
   uint64_t Requests = 0;
 };
 
+/// A run of a request during which its target ended.
+struct ended_run {
+  placement::target_key Target = 0;
+  boot_time SentAt;
+  boot_time EndedAt;
+};
+
+/// What the sender knows of a request under which targets ended.
+struct suspect_report {
+  struct run {
+    placement::target_key Target = 0;
+    /// Time from sending the request to the target's end, in milliseconds.
+    uint32_t RanMs = 0;
+    /// Time from then to sending this message, in milliseconds.
+    uint32_t AgeMs = 0;
+  };
+
+  /// Equal for requests that ask the same of a target.
+  uint64_t Fingerprint = 0;
+  /// Time since a target completed it, in milliseconds.
+  std::optional<uint32_t> CompletedAgeMs;
+  std::vector<run> Runs;
+};
+
 /// What changed since the sender's last update.
 struct update_message {
   uint64_t Boot = 0;
@@ -130,6 +154,7 @@
   uint64_t FirstEvent = 0;
   std::vector<target_event> Events;
   std::vector<limit_report> Limits;
+  std::vector<suspect_report> Suspects;
 };
 
 /// Evidence about targets that must not wait for the next update. Its events
--- a/Source/Core/Fleet/PeerView.cpp
+++ b/Source/Core/Fleet/PeerView.cpp
@@ -64,6 +64,8 @@
     applyServiceTotal(*Peer, Total, Charged);
   for (const limit_report &Report : Update.Limits)
     applyLimit(*Peer, Report, Charged);
+  for (const suspect_report &Report : Update.Suspects)
+    Hooks.OnSuspect(Report);
   applyEvents(*Peer, Update.FirstEvent, Update.Events);
   if (!Late)
     Hooks.OnUpdate(*Peer, Update);
--- a/Source/Core/Fleet/PeerView.h
+++ b/Source/Core/Fleet/PeerView.h
@@ -55,6 +55,7 @@
   std::function<void(const target_event &Event)> OnEvent;
   /// A limit, and the increase of the peer's requests to that target.
   std::function<void(const limit_report &Report, uint64_t Growth)> OnLimit;
+  std::function<void(const suspect_report &Report)> OnSuspect;
   /// Called last, for all other content of the update.
   std::function<void(const peer &Peer, const update_message &Update)> OnUpdate;
 };
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -62,7 +62,7 @@
     refuse(error_kind::NoTargetAvailable, "the route has no service");
     return;
   }
-  if (!readDeadline() || !checkShutdown() || !admit())
+  if (!readDeadline() || !checkShutdown() || !admit() || !checkQuarantine())
     return;
   const auto Self = shared_from_this();
   Call->OnDisconnect = [Self] {
@@ -137,6 +137,25 @@
   return false;
 }
 
+std::optional<boot_time> exchange::quarantinedUntil() {
+  const fleet::request_quarantine &Quarantine = Gateway.Fleet->quarantine();
+  if (Quarantine.empty())
+    return std::nullopt;
+  return Quarantine.quarantinedUntil(fingerprint(), Gateway.Loop.now());
+}
+
+bool exchange::checkQuarantine() {
+  const auto Until = quarantinedUntil();
+  if (!Until)
+    return true;
+  ++Gateway.Counters.Quarantined;
+  const size_t Ended = Gateway.Fleet->quarantine().endedTargets(fingerprint());
+  refuse(error_kind::RequestQuarantined,
+         absl::StrCat(Ended, " targets ended while they ran this request"),
+         *Until - Gateway.Loop.now());
+  return false;
+}
+
 size_t exchange::openAttempts() const {
   return static_cast<size_t>(std::count_if(
       Attempts.begin(), Attempts.end(),
@@ -202,6 +221,11 @@
 void exchange::tryNext() {
   if (Done)
     return;
+  if (!Attempts.empty() && quarantinedUntil()) {
+    if (openAttempts() == 0)
+      giveUp(error_kind::RequestQuarantined, "targets end under this request");
+    return;
+  }
   if (timeLeft() < Gateway.Settings.Forward.MinTimeLeft) {
     if (openAttempts() == 0)
       onDeadline();
@@ -263,28 +287,18 @@
 }
 
 void exchange::connect(const attempt_ref &Attempt) {
-  const forward_settings &Forward = Gateway.Settings.Forward;
-  const auto Address = event::parseAddress(Attempt->Target->Entry.Address);
-  if (Address.ok()) {
-    ++Gateway.Counters.Connections;
-    message::reader_limits Limits;
-    Limits.BodyBytes = Forward.MaxResponseBytes;
-    Limits.Budget = Gateway.ResponseBodies;
-    Attempt->Connection =
-        message::client_connection::connect(Gateway.Loop, *Address, Limits);
-  }
+  Attempt->Connection = Gateway.connectTo(*Attempt->Target);
   if (!Attempt->Connection) {
     onConnectionLost(Attempt);
     return;
   }
-  Attempt->Connection->setKeepaliveLimits(
-      {Forward.UnacknowledgedTimeout, std::chrono::seconds(2)});
   Attempt->Connection->setHooks(hooksOf(Attempt));
-  Attempt->Timers.push_back(Gateway.Loop.callAfter(
-      Forward.ConnectTimeout, [Self = shared_from_this(), Attempt] {
-        if (!Attempt->Sent && !Attempt->Ended)
-          Self->onConnectionLost(Attempt);
-      }));
+  Attempt->Timers.push_back(
+      Gateway.Loop.callAfter(Gateway.Settings.Forward.ConnectTimeout,
+                             [Self = shared_from_this(), Attempt] {
+                               if (!Attempt->Sent && !Attempt->Ended)
+                                 Self->onConnectionLost(Attempt);
+                             }));
 }
 
 message::client_hooks exchange::hooksOf(const attempt_ref &Attempt) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -47,6 +47,10 @@
   bool admit();
   void chooseService();
   bool readDeadline();
+  /// Refuses a request under which targets end.
+  bool checkQuarantine();
+  /// The end of its quarantine, if it must not be sent to a target now.
+  std::optional<boot_time> quarantinedUntil();
   /// Refuses a request whose response may come after this instance has shut
   /// down.
   bool checkShutdown();
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -99,6 +99,8 @@
     onNotRun(Attempt);
     return;
   }
+  if (!Gateway.Fleet->quarantine().empty())
+    Gateway.Fleet->completeQuarantine(fingerprint());
   const bool Signed = Response.Headers.find(HeaderNames.Signature).has_value();
   const bool Encoded = Response.Headers.find("content-encoding").has_value();
   if (isSuccess(Response.Status) && (!Signed || !ResponseId || Encoded)) {
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -11,10 +11,6 @@
 namespace magnolia::gateway {
 namespace {
 
-constexpr std::chrono::milliseconds RegisterRetryDelay{500};
-/// After an outage of the store, the instances that stop reading it have done
-/// so within this time.
-constexpr std::chrono::milliseconds ReadersSettleTime{3500};
 /// The registered instances are read again at this period, in case the hello
 /// messages of two instances were lost in both directions.
 constexpr std::chrono::seconds RereadPeriod{20};
@@ -26,28 +22,6 @@
 
 } // namespace
 
-std::string encodeIdentity(const fleet::instance_identity &Identity) {
-  return nlohmann::json({{"name", Identity.Name},
-                         {"failure_domain", Identity.FailureDomain},
-                         {"peer_address", Identity.PeerAddress},
-                         {"caller_address", Identity.CallerAddress}})
-      .dump();
-}
-
-absl::StatusOr<fleet::instance_identity>
-decodeIdentity(std::string_view Bytes) {
-  try {
-    const auto Value = nlohmann::json::parse(Bytes);
-    return fleet::instance_identity{
-        Value.at("name").get<std::string>(),
-        Value.at("failure_domain").get<std::string>(),
-        Value.at("peer_address").get<std::string>(),
-        Value.at("caller_address").get<std::string>()};
-  } catch (const nlohmann::json::exception &Error) {
-    return absl::InvalidArgumentError(Error.what());
-  }
-}
-
 fleet_agent::fleet_agent(event::event_loop &Loop, const settings &Settings,
                          placement::target_set &TargetSet,
                          store_table Instances, hooks Hooks)
@@ -55,7 +29,8 @@
       Instances(std::move(Instances)), Hooks(std::move(Hooks)),
       Boot(makeBootId()), Started(Loop.now()), Buckets(Settings.Rates),
       Budgets(Settings.Budget, Started, Boot), Limits(Settings.Limits, Boot),
-      RelayRound(Boot), UrgentLimit(Settings.Urgent) {}
+      Quarantine(Settings.Quarantine), RelayRound(Boot),
+      UrgentLimit(Settings.Urgent) {}
 
 absl::StatusOr<std::unique_ptr<fleet_agent>>
 fleet_agent::open(event::event_loop &Loop, const settings &Settings,
@@ -102,6 +77,9 @@
     Raw->TargetSet.setPeerInFlight(Peer.Boot, Update.InFlight, Raw->Loop.now());
     Raw->Hooks.OnUpdate(Peer, Update);
   };
+  PeerHooks.OnSuspect = [Raw](const fleet::suspect_report &Report) {
+    Raw->Quarantine.apply(Report, Raw->Loop.now());
+  };
   Agent->Peers = std::make_unique<fleet::peer_view>(
       Settings.Identity.Name, Agent->Boot, Agent->Started, Settings.Peers,
       std::move(PeerHooks));
@@ -118,98 +96,6 @@
   });
 }
 
-bool fleet_agent::isPreferredReader() const {
-  return fleet::decideReader(*Peers, Settings.Identity.Name, Settings.Readers,
-                             Loop.now())
-      .Preferred;
-}
-
-void fleet_agent::registerInstance() {
-  Instances.Write({{Settings.Identity.Name, encodeIdentity(Settings.Identity)}},
-                  [this](const store_reply &Reply) {
-                    if (Reply.Result == store_result::Done) {
-                      Registered = true;
-                      readInstances();
-                      return;
-                    }
-                    // This instance can discover others before it is
-                    // registered.
-                    if (!InstancesRead)
-                      readInstances();
-                    Loop.callAfter(RegisterRetryDelay,
-                                   [this] { registerInstance(); });
-                  });
-}
-
-void fleet_agent::readInstances() {
-  Instances.Read("", [this](const store_reply &Reply) {
-    if (Reply.Result != store_result::Done) {
-      if (!InstancesRead)
-        Loop.callAfter(RegisterRetryDelay, [this] { readInstances(); });
-      return;
-    }
-    InstancesRead = true;
-    for (const stored_row &Row : Reply.Rows) {
-      const auto Identity = decodeIdentity(Row.Value);
-      if (!Identity.ok() || Identity->Name == Settings.Identity.Name)
-        continue;
-      Peers->addRegistered(*Identity);
-      const auto Address = event::parseAddress(Identity->PeerAddress);
-      if (Address.ok())
-        sendHello(*Address, true);
-    }
-  });
-}
-
-void fleet_agent::restoreRegistrations() {
-  if (isPreferredReader()) {
-    writeMissingRegistrations();
-    return;
-  }
-  Loop.callAfter(ReadersSettleTime, [this] {
-    if (Hooks.IsReading())
-      writeMissingRegistrations();
-  });
-}
-
-void fleet_agent::writeMissingRegistrations() {
-  const auto Retry = [this] {
-    Loop.callAfter(RegisterRetryDelay, [this] { writeMissingRegistrations(); });
-  };
-  Instances.Read("", [this, Retry](const store_reply &Reply) {
-    if (Reply.Result != store_result::Done) {
-      Retry();
-      return;
-    }
-    const std::vector<row_write> Missing = missingRegistrations(Reply.Rows);
-    if (Missing.empty())
-      return;
-    common::log(common::log_level::Info, "Fleet", "registrations written again",
-                {{"count", Missing.size()}, {"era", Reply.Era.value_or(0)}});
-    Instances.Write(Missing, [Retry](const store_reply &Written) {
-      if (Written.Result != store_result::Done)
-        Retry();
-    });
-  });
-}
-
-std::vector<row_write>
-fleet_agent::missingRegistrations(absl::Span<const stored_row> Rows) const {
-  absl::flat_hash_set<std::string> Present;
-  for (const stored_row &Row : Rows)
-    Present.insert(Row.Key);
-  std::vector<row_write> Missing;
-  const auto Check = [&](const fleet::instance_identity &Identity) {
-    if (!Present.contains(Identity.Name) && Missing.size() < MaxWrittenRows)
-      Missing.push_back({Identity.Name, encodeIdentity(Identity)});
-  };
-  Check(Settings.Identity);
-  for (const auto &[Name, Peer] : Peers->peers())
-    if (Peers->isReachable(Peer, Loop.now()))
-      Check(Peer.Identity);
-  return Missing;
-}
-
 void fleet_agent::sendHello(const sockaddr_in &To, bool WantsReply) {
   fleet::hello_message Hello;
   Hello.Boot = Boot;
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -11,6 +11,7 @@
 #include "Fleet/FleetBuckets.h"
 #include "Fleet/FleetBudgets.h"
 #include "Fleet/PeerView.h"
+#include "Fleet/RequestQuarantine.h"
 #include "Fleet/TargetLimits.h"
 #include "Fleet/UrgentLimit.h"
 #include "Gateway/Settings.h"
@@ -73,6 +74,12 @@
   /// instances that read the store, the others wait to see who still does.
   void restoreRegistrations();
 
+  /// Writes the quarantine of a request to the store, for instances that start
+  /// when no other one is left to tell them.
+  void storeQuarantine(uint64_t Fingerprint);
+  /// Records that a target completed a request, which ends its quarantine.
+  void completeQuarantine(uint64_t Fingerprint);
+
   /// Sends an update to all peers within milliseconds, for example when this
   /// instance starts draining.
   void announce();
@@ -90,6 +97,7 @@
   fleet::fleet_buckets &buckets() { return Buckets; }
   fleet::fleet_budgets &budgets() { return Budgets; }
   fleet::target_limits &limits() { return Limits; }
+  fleet::request_quarantine &quarantine() { return Quarantine; }
   const fleet::peer_view &peers() const { return *Peers; }
   const peer_traffic &traffic() const { return Traffic; }
   double reachableFraction() const {
@@ -130,6 +138,10 @@
   /// Whether this instance is one of those on which the others rely for the
   /// store.
   bool isPreferredReader() const;
+  /// Takes over the quarantines among \p Rows; those that have ended are
+  /// removed from the store by one of the instances.
+  void restoreQuarantines(absl::Span<const stored_row> Rows);
+  void removeStoredQuarantines(std::vector<row_write> Rows);
   void writeMissingRegistrations();
   /// The identities of this instance and its reachable peers that are not among
   /// \p Rows.
@@ -178,6 +190,7 @@
   fleet::fleet_buckets Buckets;
   fleet::fleet_budgets Budgets;
   fleet::target_limits Limits;
+  fleet::request_quarantine Quarantine;
   std::array<audience_state, fleet::AudienceCount> AudienceStates;
   /// Number of the last update of this instance.
   uint64_t LastUpdate = 0;
--- a/Source/Gateway/FleetAgentUpdates.cpp
+++ b/Source/Gateway/FleetAgentUpdates.cpp
@@ -135,6 +135,7 @@
   Update.FirstEvent = stateOf(Audience).FirstEvent;
   Update.Events = takeEvents(Audience);
   Update.Limits = Limits.collectReports(Audience, Full, Loop.now());
+  Update.Suspects = Quarantine.collectReports(Audience, Full, Loop.now());
   return Update;
 }
 
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -8,6 +8,7 @@
 #include "Common/Log.h"
 #include "Gateway/Exchange.h"
 #include "Gateway/RequestLog.h"
+#include "Net/Event/Address.h"
 
 namespace magnolia::gateway {
 namespace {
@@ -44,6 +45,10 @@
                         TargetSet.remove(Id);
                       }}),
       Losses(Settings.Losses), Pool(Loop, Settings.Forward),
+      EndCheck(Loop, Settings.Forward.ConnectTimeout, Pool,
+               [this](const placement::target &Target) {
+                 return connectTo(Target);
+               }),
       ResponseBodies(std::make_shared<message::body_budget>(
           Settings.Forward.MaxReadingBytes)) {}
 
@@ -172,6 +177,7 @@
     Pool.sweep();
     TargetRegistry.advance(storeAvailability(), Loop.now());
     Fleet->limits().advance(Loop.now());
+    Fleet->quarantine().advance(Loop.now());
     logFailureMode();
   });
 }
@@ -326,6 +332,7 @@
 
 void gateway::onConnectionLost(placement::lost_connection Lost) {
   logConnectionLost(Lost, Loop.now());
+  checkEnded(Lost);
   placement::target_set::observePath(*Lost.Target, placement::evidence::Broken,
                                      Lost.SentAt, Loop.now());
   if (!Losses.add(std::move(Lost)))
@@ -343,6 +350,44 @@
   });
 }
 
+std::shared_ptr<message::client_connection>
+gateway::connectTo(const placement::target &Target) {
+  const auto Address = event::parseAddress(Target.Entry.Address);
+  if (!Address.ok())
+    return nullptr;
+  ++Counters.Connections;
+  message::reader_limits Limits;
+  Limits.BodyBytes = Settings.Forward.MaxResponseBytes;
+  Limits.Budget = ResponseBodies;
+  auto Connection = message::client_connection::connect(Loop, *Address, Limits);
+  if (Connection)
+    Connection->setKeepaliveLimits(
+        {Settings.Forward.UnacknowledgedTimeout, std::chrono::seconds(2)});
+  return Connection;
+}
+
+void gateway::checkEnded(const placement::lost_connection &Lost) {
+  EndCheck.check(Lost.Target, [this, Lost, LostAt = Loop.now()] {
+    onTargetEnded(Lost, LostAt);
+  });
+}
+
+void gateway::onTargetEnded(const placement::lost_connection &Lost,
+                            boot_time EndedAt) {
+  fleet::request_quarantine &Quarantine = Fleet->quarantine();
+  const boot_time Now = Loop.now();
+  const bool IsNew = Quarantine.recordEnded(
+      Lost.Fingerprint, {Lost.Target->Key, Lost.SentAt, EndedAt}, Now);
+  const size_t Ended = Quarantine.endedTargets(Lost.Fingerprint);
+  const auto Until = Quarantine.quarantinedUntil(Lost.Fingerprint, Now);
+  logTargetEnded(Lost, Ended, Until ? *Until - Now : duration::zero());
+  // A single loss is hardly ever more than chance.
+  if (Ended > 1)
+    Fleet->announce();
+  if (IsNew)
+    Fleet->storeQuarantine(Lost.Fingerprint);
+}
+
 bool gateway::ready() const { return !ShuttingDown && Routes && TargetsRead; }
 
 std::vector<std::string>
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -15,6 +15,7 @@
 #include "Gateway/Settings.h"
 #include "Gateway/Store.h"
 #include "Gateway/StoreSharing.h"
+#include "Gateway/TargetEndCheck.h"
 #include "Gateway/TargetPool.h"
 #include "Net/Message/HttpServer.h"
 #include "Placement/LossFilter.h"
@@ -58,6 +59,8 @@
   /// Extra attempts that the budget did not allow.
   uint64_t ExtraAttemptsRefused = 0;
   uint64_t Connections = 0;
+  /// Requests that were not sent because they are quarantined.
+  uint64_t Quarantined = 0;
 };
 
 /// One instance of the proxy. Its timers and connections refer to it: the loop
@@ -126,6 +129,12 @@
   /// milliseconds it counts only against the path to the target; then it counts
   /// against the target as well, unless many others were lost with it.
   void onConnectionLost(placement::lost_connection Lost);
+  /// Starts to connect to \p Target; null if the system reports an error.
+  std::shared_ptr<message::client_connection>
+  connectTo(const placement::target &Target);
+  /// Finds out whether the target ended while it ran the request.
+  void checkEnded(const placement::lost_connection &Lost);
+  void onTargetEnded(const placement::lost_connection &Lost, boot_time EndedAt);
   /// Logs when the belief changes that targets hang.
   void logFailureMode();
   void continueShutdown();
@@ -148,6 +157,7 @@
   placement::loss_filter Losses;
   placement::request_mix RequestMix;
   target_pool Pool;
+  target_end_check EndCheck;
   /// Of all responses that are being read.
   const std::shared_ptr<message::body_budget> ResponseBodies;
   std::unique_ptr<fleet_agent> Fleet;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -32,6 +32,11 @@
   add(Samples, "magnolia_extra_attempts_refused_total",
       "Sends beyond the first of a request that the budget did not allow.",
       static_cast<double>(Counters.ExtraAttemptsRefused));
+  add(Samples, "magnolia_requests_quarantined_total",
+      "Requests that were not sent because targets end under them.",
+      static_cast<double>(Counters.Quarantined));
+  add(Samples, "magnolia_quarantines", "Requests that are quarantined.",
+      static_cast<double>(Fleet->quarantine().quarantinedCount(Loop.now())));
   add(Samples, "magnolia_callers_gone_total",
       "Requests whose caller left before the answer.",
       static_cast<double>(Counters.CallersDisconnected));
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -79,6 +79,16 @@
                {"own_in_flight", Lost.Target->OwnInFlight}});
 }
 
+void logTargetEnded(const placement::lost_connection &Lost, size_t Ended,
+                    duration Quarantine) {
+  common::log(log_level::Warning, Component, "target ended under a request",
+              {{"id", Lost.RequestId},
+               {"target", Lost.Target->Entry.Id},
+               {"request", absl::StrCat(absl::Hex(Lost.Fingerprint))},
+               {"ended_targets", Ended},
+               {"quarantine_ms", millis(Quarantine)}});
+}
+
 void logTargetPause(std::string_view Id, const placement::target &Target,
                     duration Pause) {
   common::log(
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -37,6 +37,12 @@
 /// Logs a connection to a target that ended before a complete response.
 void logConnectionLost(const placement::lost_connection &Lost, boot_time Now);
 
+/// Logs that a target ended while it ran a request. \p Ended: targets so far
+/// that ended one after the other under requests that ask the same; \p
+/// Quarantine: for how long these are not sent, if at all.
+void logTargetEnded(const placement::lost_connection &Lost, size_t Ended,
+                    duration Quarantine);
+
 /// Logs that \p Target wants no requests of this instance for \p Pause.
 void logTargetPause(std::string_view Id, const placement::target &Target,
                     duration Pause);
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -8,6 +8,7 @@
 #include "Fleet/FleetMessage.h"
 #include "Fleet/PeerView.h"
 #include "Fleet/ReaderDecision.h"
+#include "Fleet/RequestQuarantine.h"
 #include "Fleet/TargetLimits.h"
 #include "Fleet/UrgentLimit.h"
 #include "Placement/LossFilter.h"
@@ -125,6 +126,7 @@
   shutdown_settings Shutdown;
   fleet::budget_settings Budget;
   fleet::limit_settings Limits;
+  fleet::quarantine_settings Quarantine;
   fleet::bucket_settings Rates;
   fleet::peer_settings Peers;
   fleet::reader_settings Readers;
--- a/Source/Gateway/Store.h
+++ b/Source/Gateway/Store.h
@@ -35,10 +35,10 @@
   bool Truncated = false;
 };
 
-/// A row that is written.
+/// A row that is written, or removed if it has no value.
 struct row_write {
   std::string Key;
-  std::string Value;
+  std::optional<std::string> Value;
 };
 
 /// Rows in one transaction.
@@ -56,7 +56,7 @@
   std::function<void(uint64_t After, common::boot_clock::duration Wait,
                      store_callback OnReply)>
       Follow;
-  /// Sets all rows, at most MaxWrittenRows, in one transaction.
+  /// Writes all rows, at most MaxWrittenRows, in one transaction.
   std::function<void(const std::vector<row_write> &Rows,
                      store_callback OnReply)>
       Write;
--- a/Source/UnitTests/Fleet/PeerViewTest.cpp
+++ b/Source/UnitTests/Fleet/PeerViewTest.cpp
@@ -25,6 +25,10 @@
     ExtraAttempts += Growth.ExtraAttempts;
   };
   Hooks.OnEvent = [&](const target_event &Event) { Events.push_back(Event); };
+  std::vector<suspect_report> Suspects;
+  Hooks.OnSuspect = [&](const suspect_report &Report) {
+    Suspects.push_back(Report);
+  };
   Hooks.OnUpdate = [](const peer &, const update_message &) {};
   boot_time Now(seconds(10));
   peer_view View("own", 1, Now - seconds(1), {}, Hooks);
