--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -327,6 +327,56 @@
   return Events;
 }
 
+/// Depth of the deepest message with room to grow.
+constexpr size_t MaxDepth = 32;
+/// A message of less bytes cannot nest so deeply that decoding it exhausts the
+/// stack.
+constexpr size_t HarmlessBytes = 4096;
+
+/// Reads CBOR without keeping it, to measure how deeply it nests.
+class depth_check : public json::json_sax_t {
+public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(json::number_integer_t) override { return true; }
+  bool number_unsigned(json::number_unsigned_t) override { return true; }
+  bool number_float(json::number_float_t, const std::string &) override {
+    return true;
+  }
+  bool string(std::string &) override { return true; }
+  bool binary(json::binary_t &) override { return true; }
+  bool start_object(size_t) override { return ++Depth <= MaxDepth; }
+  bool key(std::string &) override { return true; }
+  bool end_object() override { return leave(); }
+  bool start_array(size_t) override { return ++Depth <= MaxDepth; }
+  bool end_array() override { return leave(); }
+  bool parse_error(size_t, const std::string &,
+                   const nlohmann::detail::exception &) override {
+    return false;
+  }
+
+  bool tooDeep() const { return Depth > MaxDepth; }
+
+private:
+  bool leave() {
+    --Depth;
+    return true;
+  }
+
+  size_t Depth = 0;
+};
+
+/// Throws json::exception if \p Bytes are no CBOR.
+absl::StatusOr<json> parse(std::string_view Bytes) {
+  if (Bytes.size() > HarmlessBytes) {
+    depth_check Check;
+    json::sax_parse(Bytes, &Check, json::input_format_t::cbor);
+    if (Check.tooDeep())
+      return absl::InvalidArgumentError("the message nests too deeply");
+  }
+  return json::from_cbor(Bytes);
+}
+
 } // namespace
 
 bool isStated(const std::array<table_status, TableCount> &Tables) {
@@ -345,7 +395,10 @@
 
 absl::StatusOr<message> decode(std::string_view Bytes) {
   try {
-    const json Value = json::from_cbor(Bytes);
+    const absl::StatusOr<json> Parsed = parse(Bytes);
+    if (!Parsed.ok())
+      return Parsed.status();
+    const json &Value = *Parsed;
     const int Kind = Value.at(0).get<int>();
     if (Kind == HelloKind)
       return helloFrom(Value);
@@ -374,7 +427,10 @@
 
 absl::StatusOr<table_content> decodeContent(std::string_view Bytes) {
   try {
-    const json Value = json::from_cbor(Bytes);
+    const absl::StatusOr<json> Parsed = parse(Bytes);
+    if (!Parsed.ok())
+      return Parsed.status();
+    const json &Value = *Parsed;
     table_content Content;
     Content.Position = {eraFrom(Value, 3), Value.at(0).get<uint64_t>()};
     Content.ChangesOnly = Value.at(1).get<bool>();
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include <absl/container/flat_hash_set.h>
 #include <absl/strings/str_cat.h>
 
 #include "Common/Digest.h"
@@ -237,6 +238,10 @@
       applyTarget(Row);
     }
     TargetRegistry.keepOnly(Ids, storeAvailability(), Loop.now());
+    const absl::flat_hash_set<std::string> Listed(Ids.begin(), Ids.end());
+    absl::erase_if(InvalidEntries, [&](const auto &Invalid) {
+      return !Listed.contains(Invalid.first);
+    });
     TargetsRead = true;
   };
   return Hooks;
@@ -249,21 +254,33 @@
 
 void gateway::applyTarget(const stored_row &Row) {
   if (Row.Removed) {
+    InvalidEntries.erase(Row.Key);
     TargetRegistry.remove(Row.Key, storeAvailability(), Loop.now());
     return;
   }
   const auto Entry = Environment.Decoders.Target(Row.Key, Row.Value);
   if (Entry.ok()) {
+    InvalidEntries.erase(Row.Key);
     TargetRegistry.put(*Entry);
     return;
   }
-  common::log(
-      log_level::Warning, Component, "invalid target entry",
-      {{"id", Row.Key}, {"detail", std::string(Entry.status().message())}});
+  onInvalidEntry(Row, Entry.status());
   TargetRegistry.remove(Row.Key, placement::store_availability::Uninterrupted,
                         Loop.now());
 }
 
+void gateway::onInvalidEntry(const stored_row &Row, const absl::Status &Error) {
+  const uint64_t Hash = common::stableHash(Row.Value);
+  const auto [Known, IsNew] = InvalidEntries.try_emplace(Row.Key, Hash);
+  if (!IsNew && Known->second == Hash)
+    return;
+  Known->second = Hash;
+  common::log(log_level::Warning, Component, "invalid target entry",
+              {{"id", Row.Key},
+               {"detail", std::string(Error.message())},
+               {"bytes", Row.Value.size()}});
+}
+
 void gateway::applyConfiguration(const stored_row &Row) {
   auto Read = Environment.Decoders.Configuration(Row.Value);
   if (!Read.ok()) {
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/random/random.h>
 #include <absl/status/statusor.h>
 
@@ -112,6 +113,9 @@
     return Accepted.inForce() ? Accepted.inForce()->Position.Era : 0;
   }
   void logTarget(const placement::target_entry &Entry) const;
+  /// Logs an invalid entry among the targets', unless it is the one last
+  /// logged.
+  void onInvalidEntry(const stored_row &Row, const absl::Status &Error);
   placement::store_availability storeAvailability() const;
   void applyTarget(const stored_row &Row);
   void onCall(const std::shared_ptr<message::server_call> &Call);
@@ -169,6 +173,9 @@
   std::unique_ptr<message::http_server> CallerServer;
   std::unique_ptr<message::http_server> PeerServer;
   bool TargetsRead = false;
+  /// The keys of invalid entries among the targets', and hashes of their
+  /// values.
+  absl::flat_hash_map<std::string, uint64_t> InvalidEntries;
   /// As last logged.
   bool TargetsHang = false;
   bool ShuttingDown = false;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -70,6 +70,9 @@
   add(Samples, "magnolia_targets_hang",
       "Whether gray targets are believed to accept requests and not respond.",
       TargetSet.targetsHang() ? 1 : 0);
+  add(Samples, "magnolia_invalid_target_entries",
+      "Entries among the targets' that name no target.",
+      static_cast<double>(InvalidEntries.size()));
   add(Samples, "magnolia_targets_limited",
       "Targets that name a limit of their requests.",
       static_cast<double>(Fleet->limits().limitedCount()));
--- a/Source/UnitTests/Fleet/FleetMessageTest.cpp
+++ b/Source/UnitTests/Fleet/FleetMessageTest.cpp
@@ -108,6 +108,14 @@
     CHECK(Content->Rows == Rows);
     CHECK_FALSE(decodeContent("no table").ok());
   }
+  SUBCASE("are rejected if they nest deeply") {
+    // An array in an array, and so on; each byte is one of them.
+    for (const size_t Depth : {100, 60000, 1000000}) {
+      const std::string Nested(Depth, '\x81');
+      CHECK_FALSE(decode(Nested + "\x01").ok());
+      CHECK_FALSE(decodeContent(Nested + "\x01").ok());
+    }
+  }
   SUBCASE("are rejected if malformed") {
     CHECK_FALSE(decode("").ok());
     CHECK_FALSE(decode("hello").ok());
