Whether a target ended is not asked after every reset

Change: a target that resets a single request does so on its arrival. A request that may be sent again and was lost within 25 ms is asked about only if it was lost before or peers suspect it; if it ended the target after all, its next attempt is lost too, and both targets are asked about.

--- a/Source/Core/Placement/LossFilter.h
+++ b/Source/Core/Placement/LossFilter.h
@@ -26,6 +26,8 @@
   boot_time SentAt;
   /// Equal for requests that ask the same of a target.
   uint64_t Fingerprint = 0;
+  /// It may be sent to another target.
+  bool MayBeSentAgain = false;
 };
 
 /// Separates resets by single targets from resets of many connections of this
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -99,8 +99,7 @@
     onNotRun(Attempt);
     return;
   }
-  if (!Gateway.Fleet->quarantine().empty())
-    Gateway.Fleet->completeQuarantine(fingerprint());
+  Gateway.onCompleted(fingerprint());
   const bool Signed = Response.Headers.find(HeaderNames.Signature).has_value();
   const bool Encoded = Response.Headers.find("content-encoding").has_value();
   if (isSuccess(Response.Status) && (!Signed || !ResponseId || Encoded)) {
@@ -210,8 +209,8 @@
 void exchange::onFailure(const attempt_ref &Attempt,
                          message::exchange_failure Failure) {
   if (Failure == message::exchange_failure::Broken)
-    Gateway.onConnectionLost(
-        {Id, Attempt->Target, Attempt->SentAt, fingerprint()});
+    Gateway.onConnectionLost({Id, Attempt->Target, Attempt->SentAt,
+                              fingerprint(), mayBeSentAgain()});
   else
     observe(*Attempt, evidence::Broken);
   endAttempt(Attempt, false);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -19,6 +19,7 @@
 constexpr std::string_view Component = "Gateway";
 constexpr std::chrono::milliseconds SweepPeriod{500};
 constexpr size_t MaxPeerConnections = 512;
+constexpr std::chrono::milliseconds ArrivalResetDelay{25};
 /// With fewer instances than this in a caller's failure domain, the directory
 /// lists all instances.
 constexpr size_t MinNearbyInstances = 2;
@@ -384,17 +385,31 @@
 }
 
 void gateway::checkEnded(const placement::lost_connection &Lost) {
-  EndCheck.check(Lost.Target, [this, Lost, LostAt = Loop.now()] {
-    onTargetEnded(Lost, LostAt);
-  });
+  const boot_time Now = Loop.now();
+  const fleet::ended_run Run = {Lost.Target->Key, Lost.SentAt, Now};
+  const auto Before = LostRequests.remember(Lost.Fingerprint, Run);
+  const bool IsKnown = Before || Fleet->quarantine().contains(Lost.Fingerprint);
+  // A target that resets a single request does so on its arrival. If the
+  // request ended it after all, its next attempt is lost too.
+  const bool ResetOnArrival = Now - Lost.SentAt <= ArrivalResetDelay;
+  if (ResetOnArrival && Lost.MayBeSentAgain && !IsKnown)
+    return;
+  const auto Check = [this, &Lost](const placement::target_ref &Target,
+                                   const fleet::ended_run &At) {
+    EndCheck.check(Target, [this, Lost, At] { onTargetEnded(Lost, At); });
+  };
+  Check(Lost.Target, Run);
+  if (!Before || Before->Target == Run.Target)
+    return;
+  if (const auto Target = TargetSet.find(Before->Target))
+    Check(Target, *Before);
 }
 
 void gateway::onTargetEnded(const placement::lost_connection &Lost,
-                            boot_time EndedAt) {
+                            const fleet::ended_run &Run) {
   fleet::request_quarantine &Quarantine = Fleet->quarantine();
   const boot_time Now = Loop.now();
-  const bool IsNew = Quarantine.recordEnded(
-      Lost.Fingerprint, {Lost.Target->Key, Lost.SentAt, EndedAt}, Now);
+  const bool IsNew = Quarantine.recordEnded(Lost.Fingerprint, Run, Now);
   const size_t Ended = Quarantine.endedTargets(Lost.Fingerprint);
   const auto Until = Quarantine.quarantinedUntil(Lost.Fingerprint, Now);
   logTargetEnded(Lost, Ended, Until ? *Until - Now : duration::zero());
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -11,6 +11,7 @@
 
 #include "Common/Metrics.h"
 #include "Fleet/AcceptedConfiguration.h"
+#include "Fleet/LostRequests.h"
 #include "Gateway/FleetAgent.h"
 #include "Gateway/HeaderNames.h"
 #include "Gateway/Settings.h"
@@ -138,7 +139,13 @@
   connectTo(const placement::target &Target);
   /// Finds out whether the target ended while it ran the request.
   void checkEnded(const placement::lost_connection &Lost);
-  void onTargetEnded(const placement::lost_connection &Lost, boot_time EndedAt);
+  void onTargetEnded(const placement::lost_connection &Lost,
+                     const fleet::ended_run &Run);
+  /// Records that a target completed a request with this fingerprint.
+  void onCompleted(uint64_t Fingerprint) {
+    LostRequests.forget(Fingerprint);
+    Fleet->completeQuarantine(Fingerprint);
+  }
   /// Logs when the belief changes that targets hang.
   void logFailureMode();
   void continueShutdown();
@@ -162,6 +169,7 @@
   placement::request_mix RequestMix;
   target_pool Pool;
   target_end_check EndCheck;
+  fleet::lost_requests LostRequests;
   /// Of all responses that are being read.
   const std::shared_ptr<message::body_budget> ResponseBodies;
   std::unique_ptr<fleet_agent> Fleet;
