Known red: magnoliad ignores a change and grants a claim again after a restore

Measured: PlatformTests -tc="A change that is accepted after the table*" and RequestTests -tc="A claim that the table lost*" fail.

--- a/Source/Core/Platform/MemoryPlatform.cpp
+++ b/Source/Core/Platform/MemoryPlatform.cpp
@@ -62,6 +62,17 @@
   HeldCommits.clear();
 }
 
+memory_platform::table_copy memory_platform::copyTable() const {
+  const absl::MutexLock Lock(&Mutex);
+  return {Rows, LastVersion};
+}
+
+void memory_platform::restoreTable(const table_copy &Copy) {
+  const absl::MutexLock Lock(&Mutex);
+  Rows = Copy.Rows;
+  LastVersion = Copy.LastVersion;
+}
+
 void memory_platform::setInstances(std::vector<listed_instance> Instances) {
   const absl::MutexLock Lock(&Mutex);
   Lists.push_back({Hooks.Now() + ListLag, std::move(Instances)});
--- a/Source/Core/Platform/MemoryPlatform.h
+++ b/Source/Core/Platform/MemoryPlatform.h
@@ -55,6 +55,16 @@
   /// still hold.
   void releaseHeldCommits();
 
+  /// A copy of the table's rows.
+  struct table_copy {
+    std::map<std::string, row, std::less<>> Rows;
+    uint64_t LastVersion = 0;
+  };
+  table_copy copyTable() const;
+  /// Replaces the rows by those of \p Copy, as an operator does who restores a
+  /// backup: versions after it are given out again. Objects stay.
+  void restoreTable(const table_copy &Copy);
+
   /// Replaces the instance list; readers see the new one after the lag.
   void setInstances(std::vector<listed_instance> Instances);
   void setListLag(std::chrono::microseconds Lag);
--- a/Source/UnitTests/Platform/ConfigFollowerTest.cpp
+++ b/Source/UnitTests/Platform/ConfigFollowerTest.cpp
@@ -308,3 +308,18 @@
     }
   }
 }
+
+TEST_CASE("A change that is accepted after the table was restored") {
+  follower_fleet Fleet(FleetSize, 1);
+  Fleet.change();
+  Fleet.runFor(InForceWithin);
+  const memory_platform::table_copy Copy = Fleet.platform().copyTable();
+  for (int Count = 0; Count < 3; ++Count)
+    Fleet.change();
+  Fleet.runFor(InForceWithin);
+  Fleet.platform().restoreTable(Copy);
+  const uint64_t Accepted = Fleet.change();
+  REQUIRE(Accepted != 0);
+  Fleet.runFor(InForceWithin);
+  CHECK(Fleet.allHave(Accepted));
+}
--- a/Source/UnitTests/Request/ClaimStoreTest.cpp
+++ b/Source/UnitTests/Request/ClaimStoreTest.cpp
@@ -319,3 +319,17 @@
     CHECK(Runs <= 1);
   }
 }
+
+TEST_CASE("A claim that the table lost when it was restored") {
+  fake_table Table;
+  instance First(Table);
+  instance Second(Table);
+  const auto Copy = Table.Rows;
+  const claim_result Granted = First.submitAndFlush();
+  REQUIRE(!Granted.Refusal);
+  First.Store.finish(Granted.Claim, execution::Ran, 201);
+  First.Store.flush(Start);
+  Table.Rows = Copy;
+  // The request has run; a repeat must not run it again.
+  CHECK(Second.submitAndFlush().Refusal.has_value());
+}
