Positions in the store: comparison as the linter reads it

Cause: the linter takes the parameter of a defaulted three-way comparison for a variable of ours.

Change: the comparison is written out; the same in a test's list of sizes.

Measured: lint of SharedTable.cpp and FleetMessageTest.cpp passed.

--- a/Source/Core/Fleet/StoredRow.h
+++ b/Source/Core/Fleet/StoredRow.h
@@ -14,8 +14,13 @@
   uint64_t Era = 0;
   uint64_t Version = 0;
 
-  friend auto operator<=>(const store_position &,
-                          const store_position &) = default;
+  friend bool operator==(const store_position &,
+                         const store_position &) = default;
+  friend std::strong_ordering operator<=>(const store_position &Left,
+                                          const store_position &Right) {
+    const auto ByEra = Left.Era <=> Right.Era;
+    return std::is_neq(ByEra) ? ByEra : Left.Version <=> Right.Version;
+  }
 };
 
 /// A row of one of the store's tables, as it was stored.
--- a/Source/UnitTests/Fleet/FleetMessageTest.cpp
+++ b/Source/UnitTests/Fleet/FleetMessageTest.cpp
@@ -110,7 +110,7 @@
   }
   SUBCASE("are rejected if they nest deeply") {
     // An array in an array, and so on; each byte is one of them.
-    for (const size_t Depth : {100, 60000, 1000000}) {
+    for (const size_t Depth : {size_t{100}, size_t{60000}, size_t{1000000}}) {
       const std::string Nested(Depth, '\x81');
       CHECK_FALSE(decode(Nested + "\x01").ok());
       CHECK_FALSE(decodeContent(Nested + "\x01").ok());
