Fetches from peers: a part of their own

A fetch of content from another instance (connection, timeout, end) stood inside the sharing of the store's tables, once for each table.

--- /dev/null
+++ b/Source/Gateway/PeerFetch.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Net/Event/EventLoop.h"
+#include "Net/Message/HttpClient.h"
+
+namespace magnolia::gateway {
+
+/// Fetches content that is too large for a datagram from another instance, one
+/// at a time. The loop must not run after it is destroyed.
+class peer_fetch {
+public:
+  /// Receives the body of the response; none if the peer did not respond within
+  /// a second or has no such content.
+  using end_hook = std::function<void(std::optional<std::string> Body)>;
+
+  explicit peer_fetch(event::event_loop &Loop) : Loop(Loop) {}
+
+  /// Starts to fetch \p Path from the peer at \p Address, "IPv4:port". Nothing
+  /// happens if the address is invalid or the system reports an error.
+  void start(const std::string &Address, const std::string &Path,
+             end_hook OnEnd);
+
+  bool isRunning() const { return Connection != nullptr; }
+
+private:
+  void end(std::optional<std::string> Body);
+
+  event::event_loop &Loop;
+  std::shared_ptr<message::client_connection> Connection;
+  event::event_loop::timer_id Timer = 0;
+  end_hook OnEnd;
+};
+
+} // namespace magnolia::gateway
--- a/Source/Gateway/StoreSharing.cpp
+++ b/Source/Gateway/StoreSharing.cpp
@@ -8,7 +8,6 @@
 
 #include "Common/Log.h"
 #include "Common/StringView.h"
-#include "Net/Event/Address.h"
 
 namespace magnolia::gateway {
 namespace {
@@ -25,7 +24,6 @@
 /// Time after a start in which the instances of a fleet introduce themselves,
 /// before any of them decides whether to read.
 constexpr std::chrono::milliseconds IntroductionTime{60};
-constexpr std::chrono::milliseconds FetchTimeout{1000};
 /// Changes that a peer knows usually arrive by themselves within this time.
 constexpr std::chrono::milliseconds MissingAfter{40};
 /// An instance asks peers in other failure domains only if none in its own has
@@ -100,6 +98,7 @@
       Owner();
   };
   Replica.Copy = std::make_unique<fleet::shared_table>(std::move(TableHooks));
+  Replica.Fetch = std::make_unique<peer_fetch>(Loop);
   follower_hooks FollowerHooks;
   FollowerHooks.OnChanges = [this, Id](const std::vector<stored_row> &Rows) {
     forward(Id, Rows);
@@ -277,7 +276,7 @@
 
 void store_sharing::scheduleFetch(table_id Id) {
   replica &Replica = table(Id);
-  if (Replica.Fetch || Replica.FetchScheduled)
+  if (Replica.Fetch->isRunning() || Replica.FetchScheduled)
     return;
   const auto Spread = std::chrono::milliseconds(
       absl::Uniform<int64_t>(Random, 1, FetchSpread.count()));
@@ -292,7 +291,7 @@
 void store_sharing::fetchIfBehind(table_id Id) {
   const replica &Replica = table(Id);
   // What was missing may have arrived by itself.
-  if (Replica.Fetch || Replica.Copy->includes(Replica.Behind))
+  if (Replica.Fetch->isRunning() || Replica.Copy->includes(Replica.Behind))
     return;
   const sources Sources = sourcesOf(Id);
   const duration RemoteDelay = std::min<duration>(
@@ -321,54 +320,19 @@
 }
 
 void store_sharing::fetch(table_id Id, const fleet::peer &Peer) {
-  const auto Address = event::parseAddress(Peer.Identity.PeerAddress);
-  if (!Address.ok())
-    return;
-  const auto Connection = message::client_connection::connect(
-      Loop, *Address, message::reader_limits());
-  if (!Connection)
-    return;
   replica &Replica = table(Id);
-  Replica.Fetch = Connection;
-  message::client_hooks FetchHooks;
-  const std::string Target = contentPath(Id, Replica.Copy->status().Position);
-  FetchHooks.OnConnected = [Target, Raw = Connection.get()] {
-    message::request Request;
-    Request.Method = "GET";
-    Request.Target = Target;
-    Request.Headers.add("Host", "peer");
-    Raw->send(message::serialize(Request), false);
-  };
-  FetchHooks.OnResponse =
-      [this, Id, FromFar = !isNear(Peer)](const message::response &Response) {
-        onContent(Id, Response, FromFar);
-        endFetch(Id);
-      };
-  FetchHooks.OnConnectFailed = [this, Id] { endFetch(Id); };
-  FetchHooks.OnFailure = [this, Id](message::exchange_failure) {
-    endFetch(Id);
-  };
-  Connection->setHooks(std::move(FetchHooks));
-  Replica.FetchTimer =
-      Loop.callAfter(FetchTimeout, [this, Id] { endFetch(Id); });
+  Replica.Fetch->start(
+      Peer.Identity.PeerAddress,
+      contentPath(Id, Replica.Copy->status().Position),
+      [this, Id, FromFar = !isNear(Peer)](std::optional<std::string> Body) {
+        if (Body)
+          onContent(Id, *Body, FromFar);
+      });
 }
 
-void store_sharing::endFetch(table_id Id) {
-  replica &Replica = table(Id);
-  Loop.cancel(Replica.FetchTimer);
-  if (!Replica.Fetch)
-    return;
-  Replica.Fetch->setHooks({});
-  Replica.Fetch->close();
-  Loop.retire(std::move(Replica.Fetch));
-  Replica.Fetch = nullptr;
-}
-
-void store_sharing::onContent(table_id Id, const message::response &Response,
+void store_sharing::onContent(table_id Id, std::string_view Body,
                               bool FromFar) {
-  if (Response.Status != Ok)
-    return;
-  const auto Content = fleet::decodeContent(Response.Body);
+  const auto Content = fleet::decodeContent(Body);
   if (!Content.ok()) {
     common::log(log_level::Warning, Component, "invalid table of a peer",
                 {{"table", std::string(pathOf(Id))},
--- a/Source/Gateway/StoreSharing.h
+++ b/Source/Gateway/StoreSharing.h
@@ -8,10 +8,10 @@
 #include "Fleet/PeerView.h"
 #include "Fleet/ReaderDecision.h"
 #include "Fleet/SharedTable.h"
+#include "Gateway/PeerFetch.h"
 #include "Gateway/Settings.h"
 #include "Gateway/Store.h"
 #include "Gateway/TableFollower.h"
-#include "Net/Message/HttpClient.h"
 #include "Net/Message/ServerConnection.h"
 
 namespace magnolia::gateway {
@@ -76,10 +76,8 @@
   struct replica {
     std::unique_ptr<fleet::shared_table> Copy;
     std::unique_ptr<table_follower> Follower;
-    /// The connection of a running fetch from a peer.
-    std::shared_ptr<message::client_connection> Fetch;
-    event::event_loop::timer_id FetchTimer = 0;
-    /// A fetch is scheduled.
+    std::unique_ptr<peer_fetch> Fetch;
+    /// A fetch from a peer is scheduled.
     bool FetchScheduled = false;
     /// The latest content of a peer that the replica may lack, and since when.
     fleet::table_status Behind;
@@ -112,9 +110,7 @@
   void fetchIfBehind(fleet::table_id Id);
   sources sourcesOf(fleet::table_id Id) const;
   void fetch(fleet::table_id Id, const fleet::peer &Peer);
-  void endFetch(fleet::table_id Id);
-  void onContent(fleet::table_id Id, const message::response &Response,
-                 bool FromFar);
+  void onContent(fleet::table_id Id, std::string_view Body, bool FromFar);
   bool isNear(const fleet::peer &Peer) const {
     return Peer.Identity.FailureDomain == Settings.Identity.FailureDomain;
   }
