A restored store: an instance that starts takes the later configuration from its peers

Callers of an instance that starts after the store was restored from an older copy, and before the operator has written again, got the copy's configuration: 404 on routes and 401 on keys that all other instances served.

Cause: instances that run keep the later configuration beside the store's table, and told nobody that they do. Tables are compared by their position in the store's history, in which the copy is the newest content.

--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -105,6 +105,11 @@
   return Flat;
 }
 
+json toJson(const configuration_offer &Offer) {
+  return json::array({Offer.Version, Offer.Content, Offer.Position.Era,
+                      Offer.Position.Version});
+}
+
 json toJson(const update_message &Update) {
   json InFlight = json::array();
   for (const auto &Entry : Update.InFlight) {
@@ -113,11 +118,14 @@
   }
   const int State = static_cast<int>(Update.State) +
                     ReadingFactor * static_cast<int>(Update.Reading);
-  return json::array({UpdateKind, Update.Boot, State, Update.Number,
-                      toJson(Update.Tables), toJson(Update.Workspaces),
-                      toJson(Update.Services), std::move(InFlight),
-                      Update.FirstEvent, toJson(Update.Events),
-                      toJson(Update.Limits), toJson(Update.Suspects)});
+  json Flat = json::array({UpdateKind, Update.Boot, State, Update.Number,
+                           toJson(Update.Tables), toJson(Update.Workspaces),
+                           toJson(Update.Services), std::move(InFlight),
+                           Update.FirstEvent, toJson(Update.Events),
+                           toJson(Update.Limits), toJson(Update.Suspects)});
+  if (Update.LostConfiguration)
+    Flat.push_back(toJson(*Update.LostConfiguration));
+  return Flat;
 }
 
 json toJson(absl::Span<const stored_row> Rows) {
@@ -295,6 +303,12 @@
   return Suspects;
 }
 
+configuration_offer offerFrom(const json &Flat) {
+  return {Flat.at(0).get<uint64_t>(),
+          Flat.at(1).get<uint64_t>(),
+          {Flat.at(2).get<uint64_t>(), Flat.at(3).get<uint64_t>()}};
+}
+
 update_message updateFrom(const json &Value) {
   update_message Update;
   Update.Boot = Value.at(1).get<uint64_t>();
@@ -316,6 +330,8 @@
     Update.Limits = limitsFrom(Value[10]);
   if (Value.size() > 11)
     Update.Suspects = suspectsFrom(Value[11]);
+  if (Value.size() > 12)
+    Update.LostConfiguration = offerFrom(Value[12]);
   return Update;
 }
 
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -10,6 +10,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "Fleet/AcceptedConfiguration.h"
 #include "Fleet/SharedTable.h"
 #include "Placement/TargetSet.h"
 
@@ -155,6 +156,9 @@
   std::vector<target_event> Events;
   std::vector<limit_report> Limits;
   std::vector<suspect_report> Suspects;
+  /// What is in force at the sender, if the store's table holds another
+  /// configuration.
+  std::optional<configuration_offer> LostConfiguration;
 };
 
 /// Evidence about targets that must not wait for the next update. Its events
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -52,7 +52,12 @@
                  return connectTo(Target);
                }),
       ResponseBodies(std::make_shared<message::body_budget>(
-          Settings.Forward.MaxReadingBytes)) {}
+          Settings.Forward.MaxReadingBytes)),
+      LostConfiguration(
+          Loop, Accepted,
+          [this](const stored_row &Row, fleet::store_position Position) {
+            offerConfiguration(Row, Position.Era, fleet::offer_source::Peer);
+          }) {}
 
 gateway::~gateway() = default;
 
@@ -82,7 +87,10 @@
     Settings.Identity.CallerAddress = CallerServer->address();
 
   message::server_hooks PeerHooks;
-  PeerHooks.OnCall = [this](const auto &Call) { Store->serveTable(*Call); };
+  PeerHooks.OnCall = [this](const auto &Call) {
+    if (!LostConfiguration.serve(*Call))
+      Store->serveTable(*Call);
+  };
   PeerHooks.Limits = [] { return message::server_limits(); };
   Server = message::http_server::open(Loop, Settings.PeerListen,
                                       std::move(PeerHooks), MaxPeerConnections);
@@ -107,10 +115,12 @@
   };
   FleetHooks.FillTableStatus = [this](fleet::update_message &Update) {
     Store->fillTableStatus(Update);
+    Update.LostConfiguration = Accepted.missingFromStore();
   };
   FleetHooks.OnUpdate = [this](const fleet::peer &Peer,
                                const fleet::update_message &Update) {
     Store->onUpdate(Peer, Update);
+    LostConfiguration.onUpdate(Peer, Update);
   };
   FleetHooks.OnRows = [this](const fleet::rows_message &Rows) {
     Store->applyForwarded(Rows);
@@ -211,14 +221,14 @@
 
 fleet::table_hooks gateway::configurationHooks() {
   fleet::table_hooks Hooks;
-  Hooks.OnChange = [this](const stored_row &Row) {
-    if (Row.Key == Environment.ConfigurationKey && !Row.Removed)
-      applyConfiguration(Row);
+  const auto Offer = [this](const stored_row &Row) {
+    offerConfiguration(Row, Store->eraOf(fleet::table_id::Configuration),
+                       fleet::offer_source::Store);
   };
-  Hooks.OnSnapshot = [this](const std::vector<stored_row> &Rows) {
+  Hooks.OnChange = Offer;
+  Hooks.OnSnapshot = [Offer](const std::vector<stored_row> &Rows) {
     for (const stored_row &Row : Rows)
-      if (Row.Key == Environment.ConfigurationKey)
-        applyConfiguration(Row);
+      Offer(Row);
   };
   return Hooks;
 }
@@ -282,7 +292,10 @@
                {"bytes", Row.Value.size()}});
 }
 
-void gateway::applyConfiguration(const stored_row &Row) {
+void gateway::offerConfiguration(const stored_row &Row, uint64_t Era,
+                                 fleet::offer_source Source) {
+  if (Row.Key != Environment.ConfigurationKey || Row.Removed)
+    return;
   auto Read = Environment.Decoders.Configuration(Row.Value);
   if (!Read.ok()) {
     common::log(log_level::Error, Component, "invalid configuration",
@@ -291,10 +304,8 @@
   }
   const uint64_t Before = Routes ? Routes->version() : 0;
   const fleet::configuration_offer Offer = {
-      Read->Version,
-      common::stableHash(Row.Value),
-      {Store->eraOf(fleet::table_id::Configuration), Row.Version}};
-  const fleet::offer_decision Decision = Accepted.offer(Offer);
+      Read->Version, common::stableHash(Row.Value), {Era, Row.Version}};
+  const fleet::offer_decision Decision = Accepted.offer(Offer, Source);
   if (Decision == fleet::offer_decision::InForce)
     return;
   const bool IsAccepted = Decision == fleet::offer_decision::Accepted;
@@ -305,10 +316,12 @@
                {"before", Before},
                {"store_era", Offer.Position.Era},
                {"store_version", Offer.Position.Version},
+               {"from_peer", Source == fleet::offer_source::Peer ? 1 : 0},
                {"routes", Read->Routes.size()},
                {"workspaces", Read->Workspaces.size()}});
   if (!IsAccepted)
     return;
+  LostConfiguration.setInForce(Row);
   Routes = routing::route_table::build(std::move(*Read));
   RoutesSince = Loop.now();
   Splits.keepOnly(Routes->configurationInForce());
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -14,6 +14,7 @@
 #include "Fleet/LostRequests.h"
 #include "Gateway/FleetAgent.h"
 #include "Gateway/HeaderNames.h"
+#include "Gateway/LostConfiguration.h"
 #include "Gateway/Settings.h"
 #include "Gateway/Store.h"
 #include "Gateway/StoreSharing.h"
@@ -108,7 +109,9 @@
   void shareStore();
   fleet::table_hooks configurationHooks();
   fleet::table_hooks targetHooks();
-  void applyConfiguration(const stored_row &Row);
+  /// Offers a row with a configuration; rows with other keys are ignored.
+  void offerConfiguration(const stored_row &Row, uint64_t Era,
+                          fleet::offer_source Source);
   /// The era of the store in which the configuration in force was last read.
   uint64_t storeEra() const {
     return Accepted.inForce() ? Accepted.inForce()->Position.Era : 0;
@@ -175,6 +178,7 @@
   std::unique_ptr<fleet_agent> Fleet;
   std::unique_ptr<store_sharing> Store;
   fleet::accepted_configuration Accepted;
+  lost_configuration LostConfiguration;
   std::shared_ptr<const routing::route_table> Routes;
   boot_time RoutesSince;
   routing::split_chooser Splits;
--- a/Source/UnitTests/Fleet/FleetMessageTest.cpp
+++ b/Source/UnitTests/Fleet/FleetMessageTest.cpp
@@ -32,6 +32,7 @@
     Update.FirstEvent = 1000;
     Update.Events = {{99, evidence::Broken, 17}, {98, evidence::Accepted, 60}};
     Update.Limits = {{99, 2.8, 40, 7}, {98, std::nullopt, 0, 3}};
+    Update.LostConfiguration = {12, 77, {2, 44}};
     Update.Suspects = {{7000000000000ULL, 300, {{99, 50, 20}, {98, 40, 0}}},
                        {8, std::nullopt, {}}};
     const auto Read = decode(encode(Update));
@@ -53,6 +54,7 @@
     CHECK(Same.Limits[0].PerSecond == 2.8);
     CHECK(Same.Limits[0].Requests == 7);
     CHECK_FALSE(Same.Limits[1].PerSecond.has_value());
+    CHECK(Same.LostConfiguration == Update.LostConfiguration);
     REQUIRE(Same.Suspects.size() == 2);
     CHECK(Same.Suspects[0].Fingerprint == 7000000000000ULL);
     CHECK(Same.Suspects[0].CompletedAgeMs == 300);
@@ -60,6 +62,7 @@
     CHECK(Same.Suspects[0].Runs[0].RanMs == 50);
     CHECK_FALSE(Same.Suspects[1].CompletedAgeMs.has_value());
     Update.Suspects.clear();
+    Update.LostConfiguration.reset();
     CHECK(encode(Update).size() < 100);
   }
   SUBCASE("say nothing of the tables in few bytes") {
