magnoliad: a change after its table was restored has a higher version than those that were lost

Operators saw a change accepted that came into force on no instance: the table had been restored from an older copy, the change got the version of one that was lost, and instances ignore a version that they have had.

The next version was the head row's plus one, and the row says nothing of what the table lost.

Rows now bear the era of the table. The first change of an era gets a version above all that earlier eras can have given out (2^32 for each), so 'later' means the same to all instances, also to those that have a lost version in force; the followers need no change. Audit entries name the version that they replaced, since versions are no longer consecutive; entries without it are read as before.

--- a/Source/Core/Platform/ConfigStore.cpp
+++ b/Source/Core/Platform/ConfigStore.cpp
@@ -40,6 +40,7 @@
 
 std::string encodeAudit(const audit_entry &Entry) {
   const json Json = {{"version", Entry.Version},
+                     {"replaced", Entry.Replaced},
                      {"change_id", Entry.ChangeId},
                      {"actor", Entry.Actor},
                      {"when_unix_us", common::toUnixMicros(Entry.When)},
@@ -54,6 +55,8 @@
     const json Json = json::parse(Row.Value);
     audit_entry Entry;
     Json.at("version").get_to(Entry.Version);
+    // Entries of program versions before this field do not have it.
+    Entry.Replaced = Json.value("replaced", Entry.Version - 1);
     Json.at("change_id").get_to(Entry.ChangeId);
     Json.at("actor").get_to(Entry.Actor);
     Entry.When = common::fromUnixMicros(Json.at("when_unix_us").get<int64_t>());
@@ -82,6 +85,14 @@
   return Lines;
 }
 
+/// The version of the change that follows \p Head. The first change of an era
+/// gets a higher version than any of earlier eras, since instances may have one
+/// of those in force that the table has lost.
+uint64_t nextVersion(const config_head &Head) {
+  constexpr uint64_t VersionsInEra = uint64_t{1} << 32;
+  return std::max(Head.Version + 1, Head.Era * VersionsInEra);
+}
+
 config_store_hooks withDefaults(config_store_hooks Hooks) {
   if (!Hooks.NewChangeId)
     Hooks.NewChangeId = [] { return common::randomHex(ChangeIdBytes); };
@@ -105,6 +116,7 @@
 absl::StatusOr<config_head> decodeHead(const row &Row) {
   config_head Head;
   Head.RowVersion = Row.Version;
+  Head.Era = Row.Era;
   if (Row.Version == 0)
     return Head;
   try {
@@ -183,7 +195,7 @@
 absl::StatusOr<config_store::transaction>
 config_store::prepare(const config_head &Head, const change_request &Request,
                       const configuration &Old, configuration New) {
-  New.Version = Head.Version + 1;
+  New.Version = nextVersion(Head);
   const std::string Bytes = contract::encode(New);
   config_head Next;
   Next.Version = New.Version;
@@ -195,9 +207,9 @@
       !Status.ok())
     return absl::UnavailableError(absl::StrCat(
         "cannot write the snapshot to the object store: ", Status.message()));
-  const audit_entry Entry{Next.Version,        Next.ChangeId,  Next.Actor,
-                          Hooks.Now(),         Request.Action, Next.Digest,
-                          auditLines(Old, New)};
+  const audit_entry Entry{Next.Version, Head.Version,        Next.ChangeId,
+                          Next.Actor,   Hooks.Now(),         Request.Action,
+                          Next.Digest,  auditLines(Old, New)};
   transaction Transaction;
   Transaction.Conditions = {{std::string(ConfigHeadKey), Head.RowVersion},
                             {auditKey(Next.Version), 0}};
@@ -271,13 +283,15 @@
   if (!Head.ok())
     return Head.status();
   std::vector<audit_entry> Entries;
-  for (uint64_t Version = Head->Version; Version > 0 && Entries.size() < Limit;
-       --Version) {
+  uint64_t Version = Head->Version;
+  while (Version > 0 && Entries.size() < Limit) {
     auto Entry = findAudit(Version);
     if (!Entry.ok())
       return Entry.status();
-    if (*Entry)
-      Entries.push_back(**std::move(Entry));
+    if (!*Entry)
+      break;
+    Version = (*Entry)->Replaced;
+    Entries.push_back(**std::move(Entry));
   }
   return Entries;
 }
--- a/Source/Core/Platform/ConfigStore.h
+++ b/Source/Core/Platform/ConfigStore.h
@@ -31,11 +31,15 @@
   std::string Actor;
   /// Version of the row itself, for use in conditions.
   uint64_t RowVersion = 0;
+  /// The era of the table when the row was read.
+  uint64_t Era = 0;
 };
 
 /// One entry of the audit trail: an accepted change.
 struct audit_entry {
   uint64_t Version = 0;
+  /// The version that the change replaced.
+  uint64_t Replaced = 0;
   std::string ChangeId;
   std::string Actor;
   /// Wall clock of the operator's machine.
--- a/Source/Core/Platform/MemoryPlatform.cpp
+++ b/Source/Core/Platform/MemoryPlatform.cpp
@@ -71,6 +71,12 @@
   const absl::MutexLock Lock(&Mutex);
   Rows = Copy.Rows;
   LastVersion = Copy.LastVersion;
+  ++Era;
+}
+
+row memory_platform::inEra(row Row) const {
+  Row.Era = Era;
+  return Row;
 }
 
 void memory_platform::setInstances(std::vector<listed_instance> Instances) {
@@ -124,7 +130,7 @@
     return Status;
   const absl::MutexLock Lock(&Mutex);
   const auto Row = Rows.find(Key);
-  return Row == Rows.end() ? row{std::string(Key), "", 0} : Row->second;
+  return inEra(Row == Rows.end() ? row{std::string(Key), "", 0} : Row->second);
 }
 
 absl::StatusOr<std::vector<row>>
@@ -135,7 +141,7 @@
   std::vector<row> Found;
   for (auto Row = Rows.lower_bound(Prefix);
        Row != Rows.end() && Row->first.starts_with(Prefix); ++Row)
-    Found.push_back(Row->second);
+    Found.push_back(inEra(Row->second));
   return Found;
 }
 
--- a/Source/Core/Platform/MemoryPlatform.h
+++ b/Source/Core/Platform/MemoryPlatform.h
@@ -62,7 +62,8 @@
   };
   table_copy copyTable() const;
   /// Replaces the rows by those of \p Copy, as an operator does who restores a
-  /// backup: versions after it are given out again. Objects stay.
+  /// backup: a new era begins, and versions after the copy are given out again.
+  /// Objects stay.
   void restoreTable(const table_copy &Copy);
 
   /// Replaces the instance list; readers see the new one after the lag.
@@ -86,6 +87,8 @@
   absl::Status applyLocked(absl::Span<const condition> Conditions,
                            absl::Span<const write> Writes)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  /// The row as it is read in the current era.
+  row inEra(row Row) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   absl::StatusOr<row> get(std::string_view Key);
   absl::StatusOr<std::vector<row>> scan(std::string_view Prefix);
   absl::Status commit(absl::Span<const condition> Conditions,
@@ -104,6 +107,7 @@
   std::vector<delayed_list> Lists ABSL_GUARDED_BY(Mutex);
   std::chrono::microseconds ListLag ABSL_GUARDED_BY(Mutex){0};
   uint64_t LastVersion ABSL_GUARDED_BY(Mutex) = 0;
+  uint64_t Era ABSL_GUARDED_BY(Mutex) = 0;
   uint64_t Calls ABSL_GUARDED_BY(Mutex) = 0;
 };
 
--- a/Source/Core/Platform/Services.h
+++ b/Source/Core/Platform/Services.h
@@ -21,6 +21,10 @@
   std::string Value;
   /// Increases with each write of the row; zero for an absent row.
   uint64_t Version = 0;
+  /// Increases each time the table is restored from an older copy, after which
+  /// versions of rows are given out again; the same for all rows that are read
+  /// at one time.
+  uint64_t Era = 0;
 };
 
 /// Precondition of a commit: the row has this version (zero: it is absent).
--- a/Source/Net/Platform/WireCodec.cpp
+++ b/Source/Net/Platform/WireCodec.cpp
@@ -33,13 +33,16 @@
 }
 
 json rowToJson(const row &Row) {
-  return {{"key", Row.Key}, {"value", Row.Value}, {"version", Row.Version}};
+  return {{"key", Row.Key},
+          {"value", Row.Value},
+          {"version", Row.Version},
+          {"era", Row.Era}};
 }
 
 row rowFromJson(const json &Json) {
   return {Json.at("key").get<std::string>(),
           Json.at("value").get<std::string>(),
-          Json.at("version").get<uint64_t>()};
+          Json.at("version").get<uint64_t>(), Json.value("era", uint64_t{0})};
 }
 
 json writeToJson(const write &Write) {
--- a/Source/UnitTests/Platform/ConfigStoreTest.cpp
+++ b/Source/UnitTests/Platform/ConfigStoreTest.cpp
@@ -70,6 +70,23 @@
     }
   }
 
+  SUBCASE("goes on after the table was restored from an older copy") {
+    const auto First = Store.change(addWorkspace("ana", "clubs"));
+    const auto Copy = Platform.copyTable();
+    uint64_t LastLost = 0;
+    for (const char *Lost : {"guilds", "houses"})
+      LastLost = Store.change(addWorkspace("bo", Lost))->Version;
+    Platform.restoreTable(Copy);
+    const auto Next = Store.change(addWorkspace("ana", "schools"));
+    CHECK(Next->Version > LastLost);
+    CHECK(Store.change(addWorkspace("ana", "ranges"))->Version ==
+          Next->Version + 1);
+    const auto Audit = Store.readAudit(5);
+    REQUIRE(Audit->size() == 3);
+    CHECK(Audit->back().Version == First->Version);
+    CHECK(Audit->back().Actor == "ana");
+  }
+
   SUBCASE("determines the outcome of a commit whose reply was lost") {
     platform_faults Faults;
     SUBCASE("after the effect") { Faults.LoseReplies = 1; }
