--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -147,10 +147,9 @@
 }
 
 duration target_set::earlyProbeInterval(const placement_query &Query) const {
-  if (!Query.Repeatable || Query.EarlyProbeRate <= 0)
+  if (!Query.Repeatable || Query.EarlyProbeRate <= 0 ||
+      Query.FailedFraction < Settings.RepeatableProbeFailedFraction)
     return duration::max();
-  if (Query.FailedFraction < Settings.RepeatableProbeFailedFraction)
-    return Settings.CalmRepeatableProbeInterval;
   return Query.FailedFraction < Settings.UrgentProbeFailedFraction
              ? Settings.RepeatableProbeInterval
              : Settings.UrgentRepeatableProbeInterval;
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -51,12 +51,9 @@
   /// excluded for at most this time.
   double EarlyProbeFailedFraction = 0.07;
   duration EarlyProbeDelay = std::chrono::milliseconds(6000);
-  /// A repeatable request is sent again if its target is gray, so it may probe
-  /// any target that failed and to which no request is known for this long. It
-  /// counts from the request, since a target that hangs is seen to fail much
-  /// later.
-  duration CalmRepeatableProbeInterval = std::chrono::milliseconds(5000);
-  /// The same while at least this fraction of the requests fails.
+  /// The same for repeatable requests, which are sent again if the probe shows
+  /// that the target is still gray; counted from the last known request to the
+  /// target, since a target that hangs is seen to fail much later.
   double RepeatableProbeFailedFraction = 0.05;
   duration RepeatableProbeInterval = std::chrono::milliseconds(1500);
   /// The same from UrgentProbeFailedFraction on.
@@ -221,7 +218,7 @@
   duration pauseAfterFailure(const placement_query &Query,
                              size_t Excluded) const;
   /// How long after the last request to a target that is probably gray a
-  /// repeatable one probes it; without limit for others.
+  /// repeatable one probes it; without limit while few requests fail.
   duration earlyProbeInterval(const placement_query &Query) const;
   struct due_targets {
     std::vector<target_ref> Regular;
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -229,15 +229,10 @@
       Query.FailedFraction = 0.12;
       CHECK(ProbesIn(milliseconds(1800)) > 0);
     }
-    SUBCASE("not soon while few requests fail") {
+    SUBCASE("not while few requests fail") {
       Query.FailedFraction = 0.02;
       CHECK(ProbesIn(seconds(4)) == 0);
     }
-    SUBCASE("after some seconds while few requests fail") {
-      Query.FailedFraction = 0;
-      CHECK(ProbesIn(seconds(4)) == 0);
-      CHECK(ProbesIn(milliseconds(2500)) > 0);
-    }
     SUBCASE("not by requests that would be lost") {
       Query.Repeatable = false;
       CHECK(ProbesIn(seconds(4)) == 0);
