--- a/review/4/tenants.cc
+++ b/review/4/tenants.cc
@@ -1,6 +1,6 @@
 // The operator takes the last tenant away. Requests with its key, and with a
 // key that no desired state ever held, go on.
-#include "../tools/standins.hh"
+#include "../standins.hh"
 
 using namespace review;
 
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../tools/run-case" "$(dirname "$0")" stale
+exec "$(dirname "$0")/../run-case" "$(dirname "$0")" stale
--- a/review/5/stale.cc
+++ b/review/5/stale.cc
@@ -1,6 +1,6 @@
 // One machine loses power right after a change of the desired state that takes a
 // key away. The other machines of its zone go on with the older state.
-#include "../tools/standins.hh"
+#include "../standins.hh"
 
 using namespace review;
 
