Log which peer was asked for a newer table and what came

Change: every fetch of a table ends in one line, "table asked of a peer", with the peer, the outcome (received, refused, broken, timed_out), how long it took, for how long the instance has known of a newer position, and both positions. A fetch says how it ended instead of an empty body.

--- a/Source/Gateway/LostConfiguration.cpp
+++ b/Source/Gateway/LostConfiguration.cpp
@@ -17,10 +17,10 @@
   if (!Lost || Accepted.decide(*Lost) != fleet::offer_decision::Accepted)
     return;
   Fetch.start(Peer.Identity.PeerAddress, std::string(Path),
-              [this](const std::optional<std::string> &Body) {
-                if (!Body)
+              [this](fetch_end End, const std::string &Body) {
+                if (End != fetch_end::Received)
                   return;
-                const auto Content = fleet::decodeContent(*Body);
+                const auto Content = fleet::decodeContent(Body);
                 if (!Content.ok()) {
                   common::log(
                       common::log_level::Warning, "Store",
--- a/Source/Gateway/PeerFetch.cpp
+++ b/Source/Gateway/PeerFetch.cpp
@@ -12,6 +12,20 @@
 
 } // namespace
 
+std::string_view nameOf(fetch_end End) {
+  switch (End) {
+  case fetch_end::Received:
+    return "received";
+  case fetch_end::Refused:
+    return "refused";
+  case fetch_end::Broken:
+    return "broken";
+  case fetch_end::TimedOut:
+    return "timed_out";
+  }
+  return "unknown";
+}
+
 void peer_fetch::start(const std::string &Address, const std::string &Path,
                        end_hook OnEndGiven) {
   const auto Parsed = event::parseAddress(Address);
@@ -32,24 +46,26 @@
   };
   Hooks.OnResponse = [this](message::response Response) {
     if (Response.Status == Ok)
-      end(std::move(Response.Body));
+      end(fetch_end::Received, std::move(Response.Body));
     else
-      end(std::nullopt);
+      end(fetch_end::Refused);
+  };
+  Hooks.OnConnectFailed = [this] { end(fetch_end::Broken); };
+  Hooks.OnFailure = [this](message::exchange_failure) {
+    end(fetch_end::Broken);
   };
-  Hooks.OnConnectFailed = [this] { end(std::nullopt); };
-  Hooks.OnFailure = [this](message::exchange_failure) { end(std::nullopt); };
   Connection->setHooks(std::move(Hooks));
-  Timer = Loop.callAfter(Timeout, [this] { end(std::nullopt); });
+  Timer = Loop.callAfter(Timeout, [this] { end(fetch_end::TimedOut); });
 }
 
-void peer_fetch::end(std::optional<std::string> Body) {
+void peer_fetch::end(fetch_end End, std::string Body) {
   if (!Connection)
     return;
   Loop.cancel(Timer);
   Connection->setHooks({});
   Connection->close();
   Loop.retire(std::exchange(Connection, nullptr));
-  std::exchange(OnEnd, nullptr)(std::move(Body));
+  std::exchange(OnEnd, nullptr)(End, std::move(Body));
 }
 
 } // namespace magnolia::gateway
--- a/Source/Gateway/PeerFetch.h
+++ b/Source/Gateway/PeerFetch.h
@@ -2,21 +2,34 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
+#include <string_view>
 
 #include "Net/Event/EventLoop.h"
 #include "Net/Message/HttpClient.h"
 
 namespace magnolia::gateway {
 
+/// How a fetch from a peer ended.
+enum class fetch_end : uint8_t {
+  Received,
+  /// The peer has no such content, or is busy.
+  Refused,
+  /// The connection failed or the response was incomplete.
+  Broken,
+  TimedOut,
+};
+
+/// As in the log.
+std::string_view nameOf(fetch_end End);
+
 /// Fetches content that is too large for a datagram from another instance, one
 /// at a time. The loop must not run after it is destroyed.
 class peer_fetch {
 public:
-  /// Receives the body of the response; none if the peer did not respond within
-  /// a second or has no such content.
-  using end_hook = std::function<void(std::optional<std::string> Body)>;
+  /// Receives the body of the response, empty unless it was received. A peer
+  /// that has not responded within a second times out.
+  using end_hook = std::function<void(fetch_end End, std::string Body)>;
 
   explicit peer_fetch(event::event_loop &Loop) : Loop(Loop) {}
 
@@ -28,7 +41,7 @@
   bool isRunning() const { return Connection != nullptr; }
 
 private:
-  void end(std::optional<std::string> Body);
+  void end(fetch_end End, std::string Body = {});
 
   event::event_loop &Loop;
   std::shared_ptr<message::client_connection> Connection;
--- a/Source/Gateway/StoreSharing.cpp
+++ b/Source/Gateway/StoreSharing.cpp
@@ -324,12 +324,34 @@
   Replica.Fetch->start(
       Peer.Identity.PeerAddress,
       contentPath(Id, Replica.Copy->status().Position),
-      [this, Id, FromFar = !isNear(Peer)](std::optional<std::string> Body) {
-        if (Body)
-          onContent(Id, *Body, FromFar);
+      [this, Id, FromFar = !isNear(Peer), Name = Peer.Identity.Name,
+       Asked = Loop.now()](fetch_end End, const std::string &Body) {
+        logFetch(Id, Name, End, Asked);
+        if (End == fetch_end::Received)
+          onContent(Id, Body, FromFar);
       });
 }
 
+void store_sharing::logFetch(table_id Id, const std::string &Peer,
+                             fetch_end End, boot_time Asked) const {
+  const replica &Replica = table(Id);
+  const auto MillisSince = [Now = Loop.now()](boot_time Time) {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(Now - Time)
+        .count();
+  };
+  const fleet::store_position Known = Replica.Copy->status().Position;
+  common::log(End == fetch_end::Received ? log_level::Info : log_level::Warning,
+              Component, "table asked of a peer",
+              {{"table", std::string(pathOf(Id))},
+               {"peer", Peer},
+               {"outcome", nameOf(End)},
+               {"took_ms", MillisSince(Asked)},
+               {"behind_ms", MillisSince(Replica.BehindSince)},
+               {"known_era", Known.Era},
+               {"known_version", Known.Version},
+               {"newer_version", Replica.Behind.Position.Version}});
+}
+
 void store_sharing::onContent(table_id Id, std::string_view Body,
                               bool FromFar) {
   const auto Content = fleet::decodeContent(Body);
--- a/Source/Gateway/StoreSharing.h
+++ b/Source/Gateway/StoreSharing.h
@@ -110,6 +110,9 @@
   void fetchIfBehind(fleet::table_id Id);
   sources sourcesOf(fleet::table_id Id) const;
   void fetch(fleet::table_id Id, const fleet::peer &Peer);
+  /// \p Asked: when the fetch began.
+  void logFetch(fleet::table_id Id, const std::string &Peer, fetch_end End,
+                boot_time Asked) const;
   void onContent(fleet::table_id Id, std::string_view Body, bool FromFar);
   bool isNear(const fleet::peer &Peer) const {
     return Peer.Identity.FailureDomain == Settings.Identity.FailureDomain;
