Fetch a newer table from another source before the first has timed out

Cause: a peer that names a newer position is asked for the content 40 to 100 ms later. An instance asked one source at a time, waited its whole time-out of 1 s, then did nothing until the next update of any peer, chose again without leaving out the source that had just failed, and asked nobody of another domain while one of its own counted as reachable, which a dead one does for 2.5 s. A refusal (404, 503) or half a content had the same pause.

Change: whom to ask is decided apart (Core/Fleet/FetchPlan): another source is asked when one has sent nothing for 150 ms, or not everything after 300 ms, a failed one is left out, other domains follow in the order of the domain when none of the own is left, and the store is the last resort after 600 to 900 ms. One mechanism (Gateway/ContentFetch) serves both tables, the first load, a restored store, and the configuration that a restored store lost.

--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -52,12 +52,7 @@
                  return connectTo(Target);
                }),
       ResponseBodies(std::make_shared<message::body_budget>(
-          Settings.Forward.MaxReadingBytes)),
-      LostConfiguration(
-          Loop, Accepted,
-          [this](const stored_row &Row, fleet::store_position Position) {
-            offerConfiguration(Row, Position.Era, fleet::offer_source::Peer);
-          }) {}
+          Settings.Forward.MaxReadingBytes)) {}
 
 gateway::~gateway() = default;
 
@@ -88,7 +83,7 @@
 
   message::server_hooks PeerHooks;
   PeerHooks.OnCall = [this](const auto &Call) {
-    if (!LostConfiguration.serve(*Call))
+    if (!LostConfiguration->serve(*Call))
       Store->serveTable(*Call);
   };
   PeerHooks.Limits = [] { return message::server_limits(); };
@@ -120,7 +115,7 @@
   FleetHooks.OnUpdate = [this](const fleet::peer &Peer,
                                const fleet::update_message &Update) {
     Store->onUpdate(Peer, Update);
-    LostConfiguration.onUpdate(Peer, Update);
+    LostConfiguration->onUpdate(Peer, Update);
   };
   FleetHooks.OnRows = [this](const fleet::rows_message &Rows) {
     Store->applyForwarded(Rows);
@@ -160,6 +155,11 @@
   Store = std::make_unique<store_sharing>(
       Loop, Settings, Fleet->peers(), Environment.Configuration,
       Environment.Targets, std::move(Hooks));
+  LostConfiguration = std::make_unique<lost_configuration>(
+      Loop, Settings, Fleet->peers(), Accepted,
+      [this](const stored_row &Row, fleet::store_position Position) {
+        offerConfiguration(Row, Position.Era, fleet::offer_source::Peer);
+      });
 }
 
 void gateway::logTarget(const placement::target_entry &Entry) const {
@@ -321,7 +321,7 @@
                {"workspaces", Read->Workspaces.size()}});
   if (!IsAccepted)
     return;
-  LostConfiguration.setInForce(Row);
+  LostConfiguration->setInForce(Row);
   Routes = routing::route_table::build(std::move(*Read));
   RoutesSince = Loop.now();
   Splits.keepOnly(Routes->configurationInForce());
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -178,7 +178,7 @@
   std::unique_ptr<fleet_agent> Fleet;
   std::unique_ptr<store_sharing> Store;
   fleet::accepted_configuration Accepted;
-  lost_configuration LostConfiguration;
+  std::unique_ptr<lost_configuration> LostConfiguration;
   std::shared_ptr<const routing::route_table> Routes;
   boot_time RoutesSince;
   routing::split_chooser Splits;
--- a/Source/Gateway/LostConfiguration.cpp
+++ b/Source/Gateway/LostConfiguration.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/LostConfiguration.h"
 
+#include <algorithm>
+
 #include "Common/Log.h"
 
 namespace magnolia::gateway {
@@ -11,26 +13,66 @@
 
 } // namespace
 
+lost_configuration::lost_configuration(
+    event::event_loop &Loop, const settings &Settings,
+    const fleet::peer_view &Peers,
+    const fleet::accepted_configuration &Accepted, offer_hook Offer)
+    : Loop(Loop), Peers(Peers), Accepted(Accepted), Offer(std::move(Offer)),
+      Fetch(Loop, Settings, Peers, Path, fetchHooks()) {}
+
 void lost_configuration::onUpdate(const fleet::peer &Peer,
                                   const fleet::update_message &Update) {
-  const auto &Lost = Update.LostConfiguration;
-  if (!Lost || Accepted.decide(*Lost) != fleet::offer_decision::Accepted)
+  if (!Update.LostConfiguration) {
+    Named.erase(Peer.Identity.Name);
     return;
-  Fetch.start(Peer.Identity.PeerAddress, std::string(Path),
-              [this](fetch_end End, const std::string &Body) {
-                if (End != fetch_end::Received)
-                  return;
-                const auto Content = fleet::decodeContent(Body);
-                if (!Content.ok()) {
-                  common::log(
-                      common::log_level::Warning, "Store",
-                      "invalid configuration of a peer",
-                      {{"detail", std::string(Content.status().message())}});
-                  return;
-                }
-                for (const stored_row &Row : Content->Rows)
-                  Offer(Row, Content->Position);
-              });
+  }
+  Named[Peer.Identity.Name] = *Update.LostConfiguration;
+  if (isWanted(Peer))
+    Fetch.request(/*MayArrive=*/false);
+}
+
+bool lost_configuration::isWanted(const fleet::peer &Peer) const {
+  const auto Found = Named.find(Peer.Identity.Name);
+  return Found != Named.end() &&
+         Accepted.decide(Found->second) == fleet::offer_decision::Accepted;
+}
+
+content_fetch::hooks lost_configuration::fetchHooks() {
+  content_fetch::hooks Hooks;
+  Hooks.Has = [this](const fleet::peer &Peer) { return isWanted(Peer); };
+  Hooks.IsMissing = [this] {
+    const auto &All = Peers.peers();
+    return std::any_of(All.begin(), All.end(), [this](const auto &Entry) {
+      return Peers.isReachable(Entry.second, Loop.now()) &&
+             isWanted(Entry.second);
+    });
+  };
+  Hooks.Path = [] { return std::string(Path); };
+  Hooks.Apply = [this](std::string_view Body, bool) { return apply(Body); };
+  Hooks.Known = [this] {
+    return Accepted.inForce() ? Accepted.inForce()->Position
+                              : fleet::store_position();
+  };
+  Hooks.Newest = [this] {
+    fleet::store_position Newest;
+    for (const auto &[Peer, Offered] : Named)
+      Newest = std::max(Newest, Offered.Position);
+    return Newest;
+  };
+  return Hooks;
+}
+
+bool lost_configuration::apply(std::string_view Body) {
+  const auto Content = fleet::decodeContent(Body);
+  if (!Content.ok()) {
+    common::log(common::log_level::Warning, "Store",
+                "invalid configuration of a peer",
+                {{"detail", std::string(Content.status().message())}});
+    return false;
+  }
+  for (const stored_row &Row : Content->Rows)
+    Offer(Row, Content->Position);
+  return !Content->Rows.empty();
 }
 
 bool lost_configuration::serve(message::server_call &Call) const {
--- a/Source/Gateway/PeerFetch.cpp
+++ b/Source/Gateway/PeerFetch.cpp
@@ -7,7 +7,8 @@
 namespace magnolia::gateway {
 namespace {
 
-constexpr std::chrono::milliseconds Timeout{1000};
+constexpr std::chrono::milliseconds SilenceTimeout{1000};
+constexpr std::chrono::milliseconds TotalTimeout{5000};
 constexpr int Ok = 200;
 
 } // namespace
@@ -27,45 +28,71 @@
 }
 
 void peer_fetch::start(const std::string &Address, const std::string &Path,
-                       end_hook OnEndGiven) {
+                       hooks Given) {
+  Running = true;
+  Hooks = std::move(Given);
+  StartedAt = Loop.now();
+  TotalTimer =
+      Loop.callAfter(TotalTimeout, [this] { end(fetch_end::TimedOut); });
   const auto Parsed = event::parseAddress(Address);
-  if (!Parsed.ok() || isRunning())
+  if (Parsed.ok())
+    Connection = message::client_connection::connect(Loop, *Parsed,
+                                                     message::reader_limits());
+  if (!Connection) {
+    SilenceTimer = Loop.callAfter(std::chrono::milliseconds(0),
+                                  [this] { end(fetch_end::Broken); });
     return;
-  Connection = message::client_connection::connect(Loop, *Parsed,
-                                                   message::reader_limits());
-  if (!Connection)
-    return;
-  OnEnd = std::move(OnEndGiven);
-  message::client_hooks Hooks;
-  Hooks.OnConnected = [Path, Raw = Connection.get()] {
+  }
+  message::client_hooks ClientHooks;
+  ClientHooks.OnConnected = [Path, Raw = Connection.get()] {
     message::request Request;
     Request.Method = "GET";
     Request.Target = Path;
     Request.Headers.add("Host", "peer");
     Raw->send(message::serialize(Request), false);
   };
-  Hooks.OnResponse = [this](message::response Response) {
+  ClientHooks.OnProgress = [this] {
+    restartSilenceTimer();
+    Hooks.OnProgress();
+  };
+  ClientHooks.OnResponse = [this](message::response Response) {
     if (Response.Status == Ok)
       end(fetch_end::Received, std::move(Response.Body));
     else
       end(fetch_end::Refused);
   };
-  Hooks.OnConnectFailed = [this] { end(fetch_end::Broken); };
-  Hooks.OnFailure = [this](message::exchange_failure) {
+  ClientHooks.OnConnectFailed = [this] { end(fetch_end::Broken); };
+  ClientHooks.OnFailure = [this](message::exchange_failure) {
     end(fetch_end::Broken);
   };
-  Connection->setHooks(std::move(Hooks));
-  Timer = Loop.callAfter(Timeout, [this] { end(fetch_end::TimedOut); });
+  Connection->setHooks(std::move(ClientHooks));
+  restartSilenceTimer();
 }
 
-void peer_fetch::end(fetch_end End, std::string Body) {
+void peer_fetch::restartSilenceTimer() {
+  Loop.cancel(SilenceTimer);
+  SilenceTimer =
+      Loop.callAfter(SilenceTimeout, [this] { end(fetch_end::TimedOut); });
+}
+
+void peer_fetch::stop() {
+  if (!Running)
+    return;
+  Running = false;
+  Loop.cancel(SilenceTimer);
+  Loop.cancel(TotalTimer);
   if (!Connection)
     return;
-  Loop.cancel(Timer);
   Connection->setHooks({});
   Connection->close();
   Loop.retire(std::exchange(Connection, nullptr));
-  std::exchange(OnEnd, nullptr)(End, std::move(Body));
+}
+
+void peer_fetch::end(fetch_end End, std::string Body) {
+  if (!Running)
+    return;
+  stop();
+  Hooks.OnEnd(End, std::move(Body));
 }
 
 } // namespace magnolia::gateway
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "Fleet/CollectorChoice.h"
+#include "Fleet/FetchPlan.h"
 #include "Fleet/FleetBuckets.h"
 #include "Fleet/FleetBudgets.h"
 #include "Fleet/FleetMessage.h"
@@ -131,6 +132,7 @@
   fleet::peer_settings Peers;
   fleet::reader_settings Readers;
   fleet::collector_settings Collectors;
+  fleet::fetch_settings Fetch;
   fleet::urgent_settings Urgent;
   placement::placement_settings Placement;
   placement::loss_settings Losses;
--- a/Source/Gateway/StoreSharing.cpp
+++ b/Source/Gateway/StoreSharing.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include <absl/random/distributions.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
@@ -24,17 +23,9 @@
 /// Time after a start in which the instances of a fleet introduce themselves,
 /// before any of them decides whether to read.
 constexpr std::chrono::milliseconds IntroductionTime{60};
-/// Changes that a peer knows usually arrive by themselves within this time.
-constexpr std::chrono::milliseconds MissingAfter{40};
-/// An instance asks peers in other failure domains only if none in its own has
-/// the change, and this much later than the one before it in the order of its
-/// domain: traffic between failure domains is expensive.
-constexpr std::chrono::milliseconds RemoteFetchStep{60};
-constexpr std::chrono::milliseconds MaxRemoteFetchDelay{400};
 /// While a neighbor has the tables, an instance that starts waits this long for
 /// them before it reads the store.
 constexpr std::chrono::milliseconds NeighborPatience{300};
-constexpr std::chrono::milliseconds FetchSpread{60};
 /// A full table is served once in this time, so that many instances that start
 /// together also fetch from those that have just loaded it, instead of all
 /// sharing the bandwidth of the first one.
@@ -98,7 +89,8 @@
       Owner();
   };
   Replica.Copy = std::make_unique<fleet::shared_table>(std::move(TableHooks));
-  Replica.Fetch = std::make_unique<peer_fetch>(Loop);
+  Replica.Fetch = std::make_unique<content_fetch>(Loop, Settings, Peers,
+                                                  pathOf(Id), fetchHooks(Id));
   follower_hooks FollowerHooks;
   FollowerHooks.OnChanges = [this, Id](const std::vector<stored_row> &Rows) {
     forward(Id, Rows);
@@ -168,7 +160,8 @@
     AnnouncedState = State;
     Hooks.Announce();
   }
-  if (Decision.Covered && allLoaded()) {
+  const bool LastResort = needsStore();
+  if (Decision.Covered && allLoaded() && !LastResort) {
     UncoveredSince.reset();
     for (const replica &Replica : Tables)
       Replica.Follower->disable();
@@ -176,7 +169,7 @@
   }
   if (!UncoveredSince)
     UncoveredSince = Now;
-  if (Now - *UncoveredSince < readingDelay(Decision))
+  if (!LastResort && Now - *UncoveredSince < readingDelay(Decision))
     return;
   for (const replica &Replica : Tables)
     Replica.Follower->enable();
@@ -188,9 +181,8 @@
     return Decision.TakeOverDelay;
   // The first of each domain read, so that the others can fetch the tables
   // from a neighbor.
-  const bool NeighborHasAll =
-      !sourcesOf(table_id::Configuration).Near.empty() &&
-      !sourcesOf(table_id::Targets).Near.empty();
+  const bool NeighborHasAll = hasNearSource(table_id::Configuration) &&
+                              hasNearSource(table_id::Targets);
   return IntroductionTime + decideInDomain().TakeOverDelay +
          (NeighborHasAll ? NeighborPatience : duration::zero());
 }
@@ -267,106 +259,68 @@
   replica &Replica = table(Id);
   if (Replica.Copy->includes(Status))
     return;
-  if (!Replica.isBehind())
-    Replica.BehindSince = Loop.now();
   if (Status.Position > Replica.Behind.Position)
     Replica.Behind = Status;
-  scheduleFetch(Id);
+  Replica.Fetch->request(/*MayArrive=*/Replica.Copy->hasContent());
 }
 
-void store_sharing::scheduleFetch(table_id Id) {
-  replica &Replica = table(Id);
-  if (Replica.Fetch->isRunning() || Replica.FetchScheduled)
-    return;
-  const auto Spread = std::chrono::milliseconds(
-      absl::Uniform<int64_t>(Random, 1, FetchSpread.count()));
-  Replica.FetchScheduled = true;
-  Loop.callAfter(Replica.Copy->hasContent() ? MissingAfter + Spread : Spread,
-                 [this, Id] {
-                   table(Id).FetchScheduled = false;
-                   fetchIfBehind(Id);
-                 });
-}
-
-void store_sharing::fetchIfBehind(table_id Id) {
-  const replica &Replica = table(Id);
-  // What was missing may have arrived by itself.
-  if (Replica.Fetch->isRunning() || Replica.Copy->includes(Replica.Behind))
-    return;
-  const sources Sources = sourcesOf(Id);
-  const duration RemoteDelay = std::min<duration>(
-      RemoteFetchStep * decideInDomain().ReachableBefore, MaxRemoteFetchDelay);
-  const bool MayAskFar = Loop.now() - Replica.BehindSince >= RemoteDelay;
-  const auto &Candidates =
-      Sources.Near.empty() && MayAskFar ? Sources.Far : Sources.Near;
-  if (Candidates.empty()) {
-    scheduleFetch(Id);
-    return;
-  }
-  fetch(Id, *Candidates[absl::Uniform<size_t>(Random, 0, Candidates.size())]);
+content_fetch::hooks store_sharing::fetchHooks(table_id Id) {
+  content_fetch::hooks FetchHooks;
+  FetchHooks.Has = [this, Id](const fleet::peer &Peer) {
+    return isAhead(Peer, Id);
+  };
+  FetchHooks.IsMissing = [this, Id] {
+    const replica &Replica = table(Id);
+    return !Replica.Copy->includes(Replica.Behind);
+  };
+  FetchHooks.Path = [this, Id] {
+    return contentPath(Id, table(Id).Copy->status().Position);
+  };
+  FetchHooks.Apply = [this, Id](std::string_view Body, bool FromNear) {
+    return onContent(Id, Body, FromNear);
+  };
+  FetchHooks.Known = [this, Id] { return table(Id).Copy->status().Position; };
+  FetchHooks.Newest = [this, Id] { return table(Id).Behind.Position; };
+  return FetchHooks;
 }
 
-store_sharing::sources store_sharing::sourcesOf(table_id Id) const {
-  sources Sources;
-  const boot_time Now = Loop.now();
-  const fleet::store_position Position = table(Id).Copy->status().Position;
-  for (const auto &[Name, Peer] : Peers.peers()) {
-    const fleet::table_status &Status = Peer.Tables.at(static_cast<size_t>(Id));
-    if (Status.Position <= Position || !Peers.isReachable(Peer, Now))
-      continue;
-    (isNear(Peer) ? Sources.Near : Sources.Far).push_back(&Peer);
-  }
-  return Sources;
+bool store_sharing::isAhead(const fleet::peer &Peer, table_id Id) const {
+  return Peer.Tables.at(static_cast<size_t>(Id)).Position >
+         table(Id).Copy->status().Position;
 }
 
-void store_sharing::fetch(table_id Id, const fleet::peer &Peer) {
-  replica &Replica = table(Id);
-  Replica.Fetch->start(
-      Peer.Identity.PeerAddress,
-      contentPath(Id, Replica.Copy->status().Position),
-      [this, Id, FromFar = !isNear(Peer), Name = Peer.Identity.Name,
-       Asked = Loop.now()](fetch_end End, const std::string &Body) {
-        logFetch(Id, Name, End, Asked);
-        if (End == fetch_end::Received)
-          onContent(Id, Body, FromFar);
-      });
+bool store_sharing::hasNearSource(table_id Id) const {
+  const auto &All = Peers.peers();
+  return std::any_of(All.begin(), All.end(), [&](const auto &Entry) {
+    const fleet::peer &Peer = Entry.second;
+    return isNear(Peer) && Peers.isReachable(Peer, Loop.now()) &&
+           isAhead(Peer, Id);
+  });
 }
 
-void store_sharing::logFetch(table_id Id, const std::string &Peer,
-                             fetch_end End, boot_time Asked) const {
-  const replica &Replica = table(Id);
-  const auto MillisSince = [Now = Loop.now()](boot_time Time) {
-    return std::chrono::duration_cast<std::chrono::milliseconds>(Now - Time)
-        .count();
-  };
-  const fleet::store_position Known = Replica.Copy->status().Position;
-  common::log(End == fetch_end::Received ? log_level::Info : log_level::Warning,
-              Component, "table asked of a peer",
-              {{"table", std::string(pathOf(Id))},
-               {"peer", Peer},
-               {"outcome", nameOf(End)},
-               {"took_ms", MillisSince(Asked)},
-               {"behind_ms", MillisSince(Replica.BehindSince)},
-               {"known_era", Known.Era},
-               {"known_version", Known.Version},
-               {"newer_version", Replica.Behind.Position.Version}});
+bool store_sharing::needsStore() const {
+  return std::any_of(Tables.begin(), Tables.end(), [](const replica &Replica) {
+    return Replica.Fetch->needsStore();
+  });
 }
 
-void store_sharing::onContent(table_id Id, std::string_view Body,
-                              bool FromFar) {
+bool store_sharing::onContent(table_id Id, std::string_view Body,
+                              bool FromNear) {
   const auto Content = fleet::decodeContent(Body);
   if (!Content.ok()) {
     common::log(log_level::Warning, Component, "invalid table of a peer",
                 {{"table", std::string(pathOf(Id))},
                  {"detail", std::string(Content.status().message())}});
-    return;
+    return false;
   }
   replica &Replica = table(Id);
   const bool First = !Replica.Copy->hasContent();
+  const fleet::store_position Before = Replica.Copy->status().Position;
   Replica.Copy->applyContent(*Content);
   // Neighbors can now fetch it from here.
-  if (First || FromFar)
+  if (First || !FromNear)
     Hooks.AnnounceInDomain();
+  return First || Replica.Copy->status().Position > Before;
 }
 
 void store_sharing::serveTable(message::server_call &Call) {
--- a/Source/Gateway/StoreSharing.h
+++ b/Source/Gateway/StoreSharing.h
@@ -8,7 +8,7 @@
 #include "Fleet/PeerView.h"
 #include "Fleet/ReaderDecision.h"
 #include "Fleet/SharedTable.h"
-#include "Gateway/PeerFetch.h"
+#include "Gateway/ContentFetch.h"
 #include "Gateway/Settings.h"
 #include "Gateway/Store.h"
 #include "Gateway/TableFollower.h"
@@ -76,23 +76,11 @@
   struct replica {
     std::unique_ptr<fleet::shared_table> Copy;
     std::unique_ptr<table_follower> Follower;
-    std::unique_ptr<peer_fetch> Fetch;
-    /// A fetch from a peer is scheduled.
-    bool FetchScheduled = false;
-    /// The latest content of a peer that the replica may lack, and since when.
+    std::unique_ptr<content_fetch> Fetch;
+    /// The latest content of a peer that the replica may lack.
     fleet::table_status Behind;
-    boot_time BehindSince;
     /// When a peer was last served the full table.
     boot_time FullServedAt;
-
-    bool isBehind() const { return Copy->status().Position < Behind.Position; }
-  };
-
-  /// Reachable peers that may have changes that the replica lacks.
-  struct sources {
-    /// In the own failure domain.
-    std::vector<const fleet::peer *> Near;
-    std::vector<const fleet::peer *> Far;
   };
 
   void addTable(fleet::table_id Id, store_table Table,
@@ -106,14 +94,14 @@
   duration readingDelay(const fleet::reader_decision &Decision) const;
   void forward(fleet::table_id Id, const std::vector<stored_row> &Rows);
   void compare(fleet::table_id Id, const fleet::table_status &Status);
-  void scheduleFetch(fleet::table_id Id);
-  void fetchIfBehind(fleet::table_id Id);
-  sources sourcesOf(fleet::table_id Id) const;
-  void fetch(fleet::table_id Id, const fleet::peer &Peer);
-  /// \p Asked: when the fetch began.
-  void logFetch(fleet::table_id Id, const std::string &Peer, fetch_end End,
-                boot_time Asked) const;
-  void onContent(fleet::table_id Id, std::string_view Body, bool FromFar);
+  content_fetch::hooks fetchHooks(fleet::table_id Id);
+  /// Whether the peer has content that the replica of the table lacks.
+  bool isAhead(const fleet::peer &Peer, fleet::table_id Id) const;
+  bool hasNearSource(fleet::table_id Id) const;
+  /// Whether a table that no peer has sent is to be read from the store.
+  bool needsStore() const;
+  /// False if the content is not usable or brings nothing new.
+  bool onContent(fleet::table_id Id, std::string_view Body, bool FromNear);
   bool isNear(const fleet::peer &Peer) const {
     return Peer.Identity.FailureDomain == Settings.Identity.FailureDomain;
   }
@@ -133,7 +121,6 @@
   const hooks Hooks;
   const boot_time Started;
   std::array<replica, fleet::TableCount> Tables;
-  absl::InsecureBitGen Random;
   /// When a table was last replaced by that of a restored store.
   std::optional<boot_time> ReplacedAt;
   /// The era of the last restore that this instance found.
--- a/Source/Net/Message/HttpClient.cpp
+++ b/Source/Net/Message/HttpClient.cpp
@@ -108,8 +108,12 @@
                : exchange_failure::TooLarge);
       return;
     }
-    if (!Reader.complete())
+    if (!Reader.complete()) {
+      const auto OnProgress = Hooks.OnProgress;
+      if (OnProgress)
+        OnProgress();
       return;
+    }
     if (Skipped >= MaxSkipped) {
       fail(exchange_failure::Malformed);
       return;
--- a/Source/Net/Message/HttpClient.h
+++ b/Source/Net/Message/HttpClient.h
@@ -30,6 +30,8 @@
   std::function<void()> OnConnected;
   /// Connecting failed; nothing was sent.
   std::function<void()> OnConnectFailed;
+  /// Bytes of a response were received, which is not complete yet.
+  std::function<void()> OnProgress;
   /// A complete response was received; it may belong to another request, see
   /// keepWaiting(). Interim responses (1xx) are skipped.
   std::function<void(response Response)> OnResponse;
