Require a key wherever workspaces are listed, and read configurations strictly

Cause: the decoder made one state of two. `tenants` without rows and no `tenants` both became an empty list of workspaces, and admission took an empty list for "no keys are needed".

Change: the configuration says whether keys are required; the default is yes, and only a configuration without any list of workspaces says no. An empty key header is no key. What a peer names as lost is fetched again only if it came into force.

--- a/Source/Core/Routing/Configuration.h
+++ b/Source/Core/Routing/Configuration.h
@@ -71,6 +71,9 @@
   uint64_t Version = 0;
   std::vector<route> Routes;
   std::vector<service> Services;
+  /// Whether requests on routes that are not public need a key, also if no
+  /// workspace holds one.
+  bool RequiresKeys = true;
   std::vector<workspace> Workspaces;
   caller_limits Limits;
 };
--- a/Source/Core/Routing/RouteTable.cpp
+++ b/Source/Core/Routing/RouteTable.cpp
@@ -27,7 +27,8 @@
     ByHost[normalizedHost(Route.Host)][Route.Prefix] = &Route;
   for (const workspace &Workspace : Configuration.Workspaces)
     for (const std::string &Key : Workspace.Keys)
-      ByKey[Key] = &Workspace;
+      if (!Key.empty())
+        ByKey[Key] = &Workspace;
 }
 
 const route *route_table::find(std::string_view Host,
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -109,11 +109,11 @@
 }
 
 bool exchange::admit() {
-  if (Route->Public || Routes->configurationInForce().Workspaces.empty())
+  if (Route->Public || !Routes->configurationInForce().RequiresKeys)
     return true;
   const header_names &HeaderNames = Gateway.Environment.HeaderNames;
   const auto Key = Call->Request.Headers.find(HeaderNames.Key);
-  if (!Key) {
+  if (!Key || Key->empty()) {
     refuse(error_kind::KeyMissing, "the route needs a key");
     return false;
   }
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -298,8 +298,7 @@
     return;
   auto Read = Environment.Decoders.Configuration(Row.Value);
   if (!Read.ok()) {
-    common::log(log_level::Error, Component, "invalid configuration",
-                {{"detail", std::string(Read.status().message())}});
+    onInvalidConfiguration(Row, Read.status());
     return;
   }
   const uint64_t Before = Routes ? Routes->version() : 0;
@@ -317,6 +316,7 @@
                {"store_era", Offer.Position.Era},
                {"store_version", Offer.Position.Version},
                {"from_peer", Source == fleet::offer_source::Peer ? 1 : 0},
+               {"keys_required", Read->RequiresKeys ? 1 : 0},
                {"routes", Read->Routes.size()},
                {"workspaces", Read->Workspaces.size()}});
   if (!IsAccepted)
@@ -327,6 +327,19 @@
   Splits.keepOnly(Routes->configurationInForce());
 }
 
+void gateway::onInvalidConfiguration(const stored_row &Row,
+                                     const absl::Status &Error) {
+  const uint64_t Hash = common::stableHash(Row.Value);
+  if (InvalidConfiguration == Hash)
+    return;
+  InvalidConfiguration = Hash;
+  common::log(log_level::Error, Component, "invalid configuration",
+              {{"detail", std::string(Error.message())},
+               {"store_version", Row.Version},
+               {"bytes", Row.Value.size()},
+               {"in_force", Routes ? Routes->version() : 0}});
+}
+
 void gateway::onCall(const std::shared_ptr<message::server_call> &Call) {
   exchange::begin(*this, Call);
 }
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -112,6 +112,9 @@
   /// Offers a row with a configuration; rows with other keys are ignored.
   void offerConfiguration(const stored_row &Row, uint64_t Era,
                           fleet::offer_source Source);
+  /// Logs a configuration that cannot be read, unless it is the one last
+  /// logged. The one in force stays.
+  void onInvalidConfiguration(const stored_row &Row, const absl::Status &Error);
   /// The era of the store in which the configuration in force was last read.
   uint64_t storeEra() const {
     return Accepted.inForce() ? Accepted.inForce()->Position.Era : 0;
@@ -188,6 +191,8 @@
   /// The keys of invalid entries among the targets', and hashes of their
   /// values.
   absl::flat_hash_map<std::string, uint64_t> InvalidEntries;
+  /// Hash of the invalid configuration that was last logged.
+  std::optional<uint64_t> InvalidConfiguration;
   /// As last logged.
   bool TargetsHang = false;
   bool ShuttingDown = false;
--- a/Source/Gateway/LostConfiguration.cpp
+++ b/Source/Gateway/LostConfiguration.cpp
@@ -70,9 +70,10 @@
                 {{"detail", std::string(Content.status().message())}});
     return false;
   }
+  const auto Before = Accepted.inForce();
   for (const stored_row &Row : Content->Rows)
     Offer(Row, Content->Position);
-  return !Content->Rows.empty();
+  return Accepted.inForce() != Before;
 }
 
 bool lost_configuration::serve(message::server_call &Call) const {
