Divide the memory for messages so that a faulty target pays for itself

Cause: the bytes of all responses being read had one bound, and whoever came when it was used up failed as "too large", whatever its size. What was read and waited for a slow caller counted nowhere, nor did requests. A response was copied twice on its way out, a request three times.

A target may hold what its service leaves of what all leave free: one that sends without end holds a third, all of one service less than half. What does not fit waits with its socket unread; a response that says its length is read only when all of it fits, so that two halves do not block each other; one without a length that is the largest of its service is given up after 100 ms. It counts against its target, also when another target's answer came first: a hedge that won hid it before. When seven eighths are held, new requests get 503 "not run" with Retry-After. Responses are no longer copied, large requests once; a buffer that was large does not stay so. A paused connection that breaks no longer wakes the loop in every round.

--- a/Source/Core/Common/ErrorKind.h
+++ b/Source/Core/Common/ErrorKind.h
@@ -36,6 +36,8 @@
   ConfigurationMissing,
   ConfigurationStale,
   InstanceLeaving,
+  /// Messages hold nearly all memory that they may.
+  InstanceOverloaded,
   TargetUnreachable,
   TargetRefused,
   TargetBroken,
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -21,6 +21,8 @@
 /// Failed connections after which a request is given up, counted from its last
 /// wait for a target.
 constexpr size_t MaxUnreachable = 6;
+/// Larger bodies are not copied to be sent together with the head.
+constexpr size_t LargeBodyBytes = size_t{64} * 1024;
 
 int64_t toMillis(duration Duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Duration)
@@ -62,7 +64,8 @@
     refuse(error_kind::NoTargetAvailable, "the route has no service");
     return;
   }
-  if (!readDeadline() || !checkShutdown() || !admit() || !checkQuarantine())
+  if (!readDeadline() || !checkShutdown() || !checkMemory() || !admit() ||
+      !checkQuarantine())
     return;
   const auto Self = shared_from_this();
   Call->OnDisconnect = [Self] {
@@ -108,6 +111,17 @@
   return false;
 }
 
+bool exchange::checkMemory() {
+  if (!Gateway.Memory->isNearlyUsedUp())
+    return true;
+  ++Gateway.Counters.RefusedForMemory;
+  refuse(error_kind::InstanceOverloaded,
+         absl::StrCat("messages hold ", Gateway.Memory->used(), " of ",
+                      Gateway.Memory->limit(), " bytes, complete ones ",
+                      Gateway.Memory->complete()));
+  return false;
+}
+
 bool exchange::admit() {
   if (Route->Public || !Routes->configurationInForce().RequiresKeys)
     return true;
@@ -337,7 +351,7 @@
   tryNext();
 }
 
-std::string exchange::requestBytes(const attempt &Attempt) const {
+std::string exchange::requestHead(const attempt &Attempt) const {
   const header_names &HeaderNames = Gateway.Environment.HeaderNames;
   const message::request &Received = Call->Request;
   message::request Request;
@@ -355,8 +369,7 @@
   Request.Headers.add(HeaderNames.ExpectTarget, Attempt.Target->Entry.Id);
   if (Workspace != nullptr)
     Request.Headers.add(HeaderNames.Workspace, Workspace->Name);
-  Request.Body = Received.Body;
-  return message::serialize(Request);
+  return message::serializeHead(Request, Received.Body.size());
 }
 
 void exchange::send(const attempt_ref &Attempt) {
@@ -372,8 +385,14 @@
   MayHaveRun = true;
   Attempt->Connection->setHooks(hooksOf(Attempt));
   startTimers(Attempt);
-  Attempt->Connection->send(requestBytes(*Attempt),
-                            Call->Request.Method == "HEAD");
+  // In one piece, unless the body is large.
+  const std::string &Body = Call->Request.Body;
+  const bool OmitsBody = Call->Request.Method == "HEAD";
+  std::string Head = requestHead(*Attempt);
+  if (Body.size() >= LargeBodyBytes)
+    Attempt->Connection->send(Head, Body, OmitsBody);
+  else
+    Attempt->Connection->send(Head.append(Body), OmitsBody);
 }
 
 void exchange::startTimers(const attempt_ref &Attempt) {
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -44,6 +44,8 @@
 
   // From arrival to the first attempt.
   void start();
+  /// Refuses a request when messages hold nearly all memory that they may.
+  bool checkMemory();
   bool admit();
   void chooseService();
   bool readDeadline();
@@ -74,7 +76,7 @@
   void connect(const attempt_ref &Attempt);
   void onConnectionLost(const attempt_ref &Attempt);
   void send(const attempt_ref &Attempt);
-  std::string requestBytes(const attempt &Attempt) const;
+  std::string requestHead(const attempt &Attempt) const;
   message::client_hooks hooksOf(const attempt_ref &Attempt);
   void startTimers(const attempt_ref &Attempt);
   void onStalled(const attempt_ref &Attempt);
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -328,8 +328,13 @@
                                          Gateway.Loop.now());
   Gateway.Loop.cancel(DeadlineTimer);
   Gateway.Loop.cancel(PauseTimer);
-  for (const attempt_ref &Attempt : Attempts)
+  for (const attempt_ref &Attempt : Attempts) {
+    // A faster response of another target must not hide what this one does.
+    if (!Attempt->Ended && Attempt->Connection &&
+        Attempt->Connection->isOverflowing())
+      observe(*Attempt, evidence::Broken);
     endAttempt(Attempt, false);
+  }
   // The hook owns this object; it is kept until no hook runs.
   Gateway.Loop.retire(
       std::make_shared<std::function<void()>>(std::move(Call->OnDisconnect)));
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "Gateway/Gateway.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/strings/str_cat.h>
@@ -19,6 +20,7 @@
 constexpr std::string_view Component = "Gateway";
 constexpr std::chrono::milliseconds SweepPeriod{500};
 constexpr size_t MaxPeerConnections = 512;
+constexpr size_t MaxPeerHeadBytes = size_t{8} * 1024;
 constexpr std::chrono::milliseconds ArrivalResetDelay{25};
 /// With fewer instances than this in a caller's failure domain, the directory
 /// lists all instances.
@@ -51,8 +53,17 @@
                [this](const placement::target &Target) {
                  return connectTo(Target);
                }),
-      ResponseBodies(std::make_shared<message::body_budget>(
-          Settings.Forward.MaxReadingBytes)) {}
+      Memory(
+          admission::memory_shares::create(Settings.Forward.MaxMessageBytes)) {
+  Memory->OnRoom = [this] {
+    if (std::exchange(RoomScheduled, true))
+      return;
+    this->Loop.callAfter(duration::zero(), [this] {
+      RoomScheduled = false;
+      Memory->resumeWaiting();
+    });
+  };
+}
 
 gateway::~gateway() = default;
 
@@ -86,7 +97,12 @@
     if (!LostConfiguration->serve(*Call))
       Store->serveTable(*Call);
   };
-  PeerHooks.Limits = [] { return message::server_limits(); };
+  PeerHooks.Limits = [] {
+    message::server_limits Limits;
+    // Peers send no bodies.
+    Limits.Reader = {MaxPeerHeadBytes, 0};
+    return Limits;
+  };
   Server = message::http_server::open(Loop, Settings.PeerListen,
                                       std::move(PeerHooks), MaxPeerConnections);
   if (!Server.ok())
@@ -208,6 +224,7 @@
 
 message::server_limits gateway::callerLimits() const {
   message::server_limits Limits;
+  Limits.Shares = Memory;
   if (!Routes)
     return Limits;
   const routing::caller_limits &Configured =
@@ -402,8 +419,8 @@
   ++Counters.Connections;
   message::reader_limits Limits;
   Limits.BodyBytes = Settings.Forward.MaxResponseBytes;
-  Limits.Budget = ResponseBodies;
-  auto Connection = message::client_connection::connect(Loop, *Address, Limits);
+  auto Connection = message::client_connection::connect(
+      Loop, *Address, Limits, Memory, {Target.Entry.Service, Target.Key});
   if (Connection)
     Connection->setKeepaliveLimits(
         {Settings.Forward.UnacknowledgedTimeout, std::chrono::seconds(2)});
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -64,6 +64,8 @@
   uint64_t Connections = 0;
   /// Requests that were not sent because they are quarantined.
   uint64_t Quarantined = 0;
+  /// Requests that were refused since messages held nearly all memory.
+  uint64_t RefusedForMemory = 0;
 };
 
 /// One instance of the proxy. Its timers and connections refer to it: the loop
@@ -176,8 +178,8 @@
   target_pool Pool;
   target_end_check EndCheck;
   fleet::lost_requests LostRequests;
-  /// Of all responses that are being read.
-  const std::shared_ptr<message::body_budget> ResponseBodies;
+  /// Of requests and responses, while they are read and until they are sent.
+  const std::shared_ptr<admission::memory_shares> Memory;
   std::unique_ptr<fleet_agent> Fleet;
   std::unique_ptr<store_sharing> Store;
   fleet::accepted_configuration Accepted;
@@ -188,6 +190,8 @@
   std::unique_ptr<message::http_server> CallerServer;
   std::unique_ptr<message::http_server> PeerServer;
   bool TargetsRead = false;
+  /// Messages that wait for memory are about to try again.
+  bool RoomScheduled = false;
   /// The keys of invalid entries among the targets', and hashes of their
   /// values.
   absl::flat_hash_map<std::string, uint64_t> InvalidEntries;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -43,9 +43,17 @@
   add(Samples, "magnolia_target_connections_total",
       "Connections opened to targets.",
       static_cast<double>(Counters.Connections));
-  add(Samples, "magnolia_response_bytes_being_read",
-      "Bytes of responses of targets that are not complete.",
-      static_cast<double>(ResponseBodies->used()));
+  add(Samples, "magnolia_message_bytes",
+      "Bytes that requests and responses hold.",
+      static_cast<double>(Memory->used()));
+  add(Samples, "magnolia_message_bytes_complete",
+      "Bytes of those that are complete and wait for their receivers.",
+      static_cast<double>(Memory->complete()));
+  add(Samples, "magnolia_message_bytes_limit", "Bound of these bytes.",
+      static_cast<double>(Memory->limit()));
+  add(Samples, "magnolia_requests_refused_for_memory_total",
+      "Requests refused since messages held nearly all of it.",
+      static_cast<double>(Counters.RefusedForMemory));
   add(Samples, "magnolia_requests_in_flight", "Requests without an answer.",
       static_cast<double>(CallerServer->pendingRequests()));
   add(Samples, "magnolia_caller_connections", "Connections of callers.",
--- a/Source/Gateway/PeerFetch.cpp
+++ b/Source/Gateway/PeerFetch.cpp
@@ -9,6 +9,7 @@
 
 constexpr std::chrono::milliseconds SilenceTimeout{1000};
 constexpr std::chrono::milliseconds TotalTimeout{5000};
+constexpr size_t MaxContentBytes = size_t{16} * 1024 * 1024;
 constexpr int Ok = 200;
 
 } // namespace
@@ -35,9 +36,10 @@
   TotalTimer =
       Loop.callAfter(TotalTimeout, [this] { end(fetch_end::TimedOut); });
   const auto Parsed = event::parseAddress(Address);
+  message::reader_limits Limits;
+  Limits.BodyBytes = MaxContentBytes;
   if (Parsed.ok())
-    Connection = message::client_connection::connect(Loop, *Parsed,
-                                                     message::reader_limits());
+    Connection = message::client_connection::connect(Loop, *Parsed, Limits);
   if (!Connection) {
     SilenceTimer = Loop.callAfter(std::chrono::milliseconds(0),
                                   [this] { end(fetch_end::Broken); });
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -56,8 +56,9 @@
   /// latency.
   duration NetworkAllowance = std::chrono::milliseconds(5);
   size_t MaxResponseBytes = size_t{64} * 1024 * 1024;
-  /// Bytes of all response bodies that are being read.
-  size_t MaxReadingBytes = size_t{96} * 1024 * 1024;
+  /// Bytes of all requests and responses, from their first byte to when they
+  /// are sent on.
+  size_t MaxMessageBytes = size_t{192} * 1024 * 1024;
 };
 
 /// Following the store.
--- a/Source/Net/Event/TcpStream.cpp
+++ b/Source/Net/Event/TcpStream.cpp
@@ -6,6 +6,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace magnolia::event {
 namespace {
@@ -13,6 +14,8 @@
 constexpr size_t ReadBufferBytes = size_t{16} * 1024;
 /// Reads per connection and round, so that other connections are served too.
 constexpr int MaxReadsPerRound = 8;
+/// Capacity of the buffer for unsent bytes that is kept for later ones.
+constexpr size_t MaxKeptBytes = size_t{64} * 1024;
 
 void setOption(int Descriptor, int Level, int Name, int Value) {
   setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
@@ -88,7 +91,11 @@
     onConnectResult();
     return;
   }
-  if ((Ready & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
+  const bool Broken = (Ready & (EPOLLHUP | EPOLLERR)) != 0;
+  // While reading is paused, a hang-up would be reported in every round.
+  if (Paused && Broken)
+    end(stream_end::Broken);
+  else if (Broken || (Ready & EPOLLIN) != 0)
     readAvailable();
   if (isOpen() && (Ready & EPOLLOUT) != 0)
     flush();
@@ -146,22 +153,38 @@
     Hooks.OnEnd(End);
 }
 
+size_t tcp_stream::sendNow(std::string_view Bytes) {
+  if (!Connected || unsent() > 0)
+    return 0;
+  const ssize_t Count =
+      send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  // An error is ignored here: the event loop reports it for the descriptor.
+  return Count > 0 ? static_cast<size_t>(Count) : 0;
+}
+
 void tcp_stream::write(std::string_view Bytes) {
   if (!isOpen() || Finishing)
     return;
-  if (Connected && unsent() == 0) {
-    const ssize_t Count =
-        send(Descriptor, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
-    if (Count > 0)
-      Bytes.remove_prefix(static_cast<size_t>(Count));
-    // An error is ignored here: the event loop reports it for the descriptor.
-  }
+  Bytes.remove_prefix(sendNow(Bytes));
   if (Bytes.empty())
     return;
   Unsent.append(Bytes);
   updateEvents();
 }
 
+void tcp_stream::writeLarge(std::string Bytes) {
+  if (!isOpen() || Finishing || unsent() > 0) {
+    write(Bytes);
+    return;
+  }
+  const size_t Sent = sendNow(Bytes);
+  if (Sent == Bytes.size())
+    return;
+  Unsent = std::move(Bytes);
+  SentOfUnsent = Sent;
+  updateEvents();
+}
+
 void tcp_stream::finishWriting() {
   Finishing = true;
   if (isOpen() && unsent() == 0)
@@ -180,6 +203,9 @@
     SentOfUnsent += static_cast<size_t>(Count);
   }
   const bool HadBytes = !Unsent.empty();
+  // A buffer that was large once does not stay so.
+  if (Unsent.capacity() > MaxKeptBytes)
+    Unsent = std::string();
   Unsent.clear();
   SentOfUnsent = 0;
   updateEvents();
--- a/Source/Net/Event/TcpStream.h
+++ b/Source/Net/Event/TcpStream.h
@@ -61,6 +61,9 @@
 
   void write(std::string_view Bytes);
 
+  /// The same for many bytes, which are not copied if none are unsent.
+  void writeLarge(std::string Bytes);
+
   /// Sends the unsent bytes, then shuts down the sending side. Reading
   /// continues.
   void finishWriting();
@@ -87,6 +90,8 @@
   tcp_stream(event_loop &Loop, int Descriptor, stream_hooks Hooks)
       : Loop(Loop), Descriptor(Descriptor), Hooks(std::move(Hooks)) {}
   absl::Status start(uint32_t Events);
+  /// Sends what the system accepts at once; returns how many bytes.
+  size_t sendNow(std::string_view Bytes);
   void onReady(uint32_t Events);
   void onConnectResult();
   void readAvailable();
--- a/Source/Net/Message/HttpClient.cpp
+++ b/Source/Net/Message/HttpClient.cpp
@@ -1,5 +1,8 @@
 #include "Net/Message/HttpClient.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
@@ -31,11 +34,25 @@
 
 } // namespace
 
+client_connection::client_connection(
+    event::event_loop &Loop, const reader_limits &Limits,
+    std::shared_ptr<admission::memory_shares> Shares,
+    const admission::memory_owner &Owner)
+    : Loop(Loop), Reader(message_kind::Response, Limits),
+      Meter(Loop, std::move(Shares), Owner), LastUsed(Loop.now()) {
+  memory_meter::hooks MeterHooks;
+  MeterHooks.OnRoom = [this] { resume(); };
+  MeterHooks.OnGiveUp = [this] { fail(exchange_failure::TooLarge); };
+  Meter.setHooks(std::move(MeterHooks));
+}
+
 std::shared_ptr<client_connection>
 client_connection::connect(event::event_loop &Loop, const sockaddr_in &Address,
-                           const reader_limits &Limits) {
+                           const reader_limits &Limits,
+                           std::shared_ptr<admission::memory_shares> Shares,
+                           const admission::memory_owner &Owner) {
   std::shared_ptr<client_connection> Connection(
-      new client_connection(Loop, Limits));
+      new client_connection(Loop, Limits, std::move(Shares), Owner));
   const std::weak_ptr<client_connection> Weak = Connection;
   event::stream_hooks StreamHooks;
   StreamHooks.OnConnected = [Weak] {
@@ -70,12 +87,15 @@
   Stream->setKeepaliveLimits(Limits);
 }
 
-void client_connection::send(std::string_view Bytes, bool ExpectNoBody) {
+void client_connection::send(std::string_view Head, std::string_view Body,
+                             bool ExpectNoBody) {
   Busy = true;
   Skipped = 0;
   LastUsed = Loop.now();
   Reader.expectNoBody(ExpectNoBody);
-  Stream->write(Bytes);
+  Stream->write(Head);
+  if (!Body.empty())
+    Stream->write(Body);
 }
 
 void client_connection::keepWaiting() {
@@ -90,6 +110,33 @@
          !Stream->hasPendingInput();
 }
 
+bool client_connection::hasRoomFor(size_t Count) {
+  const auto Announced = Reader.announcedBytes();
+  return Meter.acquire(
+      std::max(Reader.heldBytes() + Count, Announced.value_or(0)),
+      Announced.has_value());
+}
+
+bool client_connection::isTooLarge() const {
+  return !Meter.canEverHold(
+      std::max(Reader.heldBytes(), Reader.announcedBytes().value_or(0)));
+}
+
+void client_connection::pause(std::string_view Bytes) {
+  Pending.assign(Bytes);
+  Stream->pauseReading(true);
+}
+
+void client_connection::resume() {
+  if (!isOpen())
+    return;
+  // The hooks of the exchange may release this connection.
+  const auto Self = shared_from_this();
+  const std::string Bytes = std::exchange(Pending, {});
+  Stream->pauseReading(false);
+  onBytes(Bytes);
+}
+
 void client_connection::onBytes(std::string_view Bytes) {
   while (!Bytes.empty() && isOpen()) {
     if (!Busy) {
@@ -100,6 +147,10 @@
         OnIdleEnd();
       return;
     }
+    if (!hasRoomFor(Bytes.size())) {
+      pause(Bytes);
+      return;
+    }
     const size_t Consumed = Reader.feed(Bytes);
     Bytes.remove_prefix(Consumed);
     if (Reader.error() != read_error::None) {
@@ -108,6 +159,10 @@
                : exchange_failure::TooLarge);
       return;
     }
+    if (isTooLarge()) {
+      fail(exchange_failure::TooLarge);
+      return;
+    }
     if (!Reader.complete()) {
       const auto OnProgress = Hooks.OnProgress;
       if (OnProgress)
@@ -128,6 +183,7 @@
   LastUsed = Loop.now();
   const bool KeepsAlive = Reader.keepsAlive();
   response Response = Reader.takeResponse();
+  Response.Memory = Meter.take();
   if (Response.Status < FirstFinalStatus) {
     ++Skipped;
     return;
@@ -171,6 +227,8 @@
 void client_connection::fail(exchange_failure Failure) {
   NotReusable = true;
   Busy = false;
+  Meter.release();
+  Pending.clear();
   const auto OnFailure = Hooks.OnFailure;
   if (OnFailure)
     OnFailure(Failure);
@@ -179,6 +237,8 @@
 void client_connection::close() {
   if (!Stream)
     return;
+  Meter.release();
+  Pending.clear();
   Stream->close();
   Loop.retire(Stream);
 }
--- a/Source/Net/Message/HttpClient.h
+++ b/Source/Net/Message/HttpClient.h
@@ -7,6 +7,7 @@
 
 #include "Net/Event/EventLoop.h"
 #include "Net/Event/TcpStream.h"
+#include "Net/Message/MemoryMeter.h"
 #include "Net/Message/Message.h"
 #include "Net/Message/MessageReader.h"
 
@@ -46,9 +47,13 @@
     : public std::enable_shared_from_this<client_connection> {
 public:
   /// Starts to connect; null if the system reports an error.
+  /// \p Shares: bounds what responses hold, of the connections that share it;
+  /// null for no bound on the sum.
   static std::shared_ptr<client_connection>
   connect(event::event_loop &Loop, const sockaddr_in &Address,
-          const reader_limits &Limits);
+          const reader_limits &Limits,
+          std::shared_ptr<admission::memory_shares> Shares = nullptr,
+          const admission::memory_owner &Owner = {});
   ~client_connection();
 
   /// Sets the hooks of the next exchange.
@@ -56,7 +61,11 @@
   void setKeepaliveLimits(const event::keepalive_limits &Limits);
 
   /// Sends one request; the connection must be connected and not busy.
-  void send(std::string_view Bytes, bool ExpectNoBody);
+  void send(std::string_view Bytes, bool ExpectNoBody) {
+    send(Bytes, {}, ExpectNoBody);
+  }
+  /// The same with a head and a body that are not in one piece.
+  void send(std::string_view Head, std::string_view Body, bool ExpectNoBody);
 
   bool isConnected() const { return Stream && Stream->isConnected(); }
   bool isOpen() const { return Stream && Stream->isOpen(); }
@@ -74,13 +83,26 @@
   std::optional<duration> serverIdleTimeout() const { return IdleTimeout; }
   boot_time lastUsed() const { return LastUsed; }
 
+  /// Whether the response is larger than what there is room for now, and does
+  /// not say how large it will be.
+  bool isOverflowing() const {
+    return Meter.isWaiting() && !Reader.announcedBytes();
+  }
+
   void close();
 
 private:
-  client_connection(event::event_loop &Loop, const reader_limits &Limits)
-      : Loop(Loop), Reader(message_kind::Response, Limits),
-        LastUsed(Loop.now()) {}
+  client_connection(event::event_loop &Loop, const reader_limits &Limits,
+                    std::shared_ptr<admission::memory_shares> Shares,
+                    const admission::memory_owner &Owner);
   void onBytes(std::string_view Bytes);
+  /// Stops reading, with \p Bytes pending, until there is room for them.
+  void pause(std::string_view Bytes);
+  void resume();
+  /// Whether there is room for \p Count more bytes, and for what the head
+  /// announces.
+  bool hasRoomFor(size_t Count);
+  bool isTooLarge() const;
   void onEnd(event::stream_end End);
   void deliverResponse();
   void fail(exchange_failure Failure);
@@ -88,6 +110,9 @@
   event::event_loop &Loop;
   std::shared_ptr<event::tcp_stream> Stream;
   message_reader Reader;
+  memory_meter Meter;
+  /// Bytes that were read from the stream and wait for room.
+  std::string Pending;
   client_hooks Hooks;
   boot_time LastUsed;
   std::optional<duration> IdleTimeout;
--- a/Source/Net/Message/Message.cpp
+++ b/Source/Net/Message/Message.cpp
@@ -160,21 +160,25 @@
   });
 }
 
-std::string serialize(const request &Request) {
+std::string serializeHead(const request &Request, size_t BodyBytes) {
   std::string Text =
       absl::StrCat(Request.Method, " ", Request.Target, " HTTP/1.1\r\n");
   appendHeaders(Text, Request.Headers);
   const bool BodyExpected = Request.Method == "POST" ||
                             Request.Method == "PUT" ||
                             Request.Method == "PATCH";
-  if (BodyExpected || !Request.Body.empty())
-    absl::StrAppend(&Text, "Content-Length: ", Request.Body.size(), "\r\n");
-  absl::StrAppend(&Text, "\r\n", Request.Body);
+  if (BodyExpected || BodyBytes > 0)
+    absl::StrAppend(&Text, "Content-Length: ", BodyBytes, "\r\n");
+  absl::StrAppend(&Text, "\r\n");
   return Text;
 }
 
-std::string serialize(const response &Response,
-                      const response_framing &Framing) {
+std::string serialize(const request &Request) {
+  return serializeHead(Request, Request.Body.size()) + Request.Body;
+}
+
+std::string serializeHead(const response &Response,
+                          const response_framing &Framing) {
   std::string Text =
       absl::StrCat("HTTP/1.1 ", Response.Status, " ",
                    toAbsl(reasonPhrase(Response.Status)), "\r\n");
@@ -184,7 +188,17 @@
   if (Framing.Close)
     absl::StrAppend(&Text, "Connection: close\r\n");
   absl::StrAppend(&Text, "\r\n");
-  if (statusHasBody(Response.Status) && !Framing.OmitBody)
+  return Text;
+}
+
+bool sendsBody(const response &Response, const response_framing &Framing) {
+  return statusHasBody(Response.Status) && !Framing.OmitBody;
+}
+
+std::string serialize(const response &Response,
+                      const response_framing &Framing) {
+  std::string Text = serializeHead(Response, Framing);
+  if (sendsBody(Response, Framing))
     absl::StrAppend(&Text, Response.Body);
   return Text;
 }
--- a/Source/Net/Message/Message.h
+++ b/Source/Net/Message/Message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -49,6 +50,8 @@
   int Status = 0;
   header_list Headers;
   std::string Body;
+  /// Releases the memory that the response is accounted for with, if it is.
+  std::shared_ptr<void> Memory = {};
 };
 
 /// Compares \p Left and \p Right, ignoring the case of ASCII letters.
@@ -65,6 +68,9 @@
 /// Serializes \p Request and adds its length.
 std::string serialize(const request &Request);
 
+/// The head of \p Request with a body of \p BodyBytes.
+std::string serializeHead(const request &Request, size_t BodyBytes);
+
 /// How a response is serialized.
 struct response_framing {
   /// Whether the connection is closed after this response.
@@ -77,6 +83,13 @@
 std::string serialize(const response &Response,
                       const response_framing &Framing);
 
+/// Whether a body follows the head.
+bool sendsBody(const response &Response, const response_framing &Framing);
+
+/// The same up to the body.
+std::string serializeHead(const response &Response,
+                          const response_framing &Framing);
+
 /// The percent-decoded value of the query parameter \p Name in \p Target.
 std::optional<std::string> queryParameter(std::string_view Target,
                                           std::string_view Name);
--- a/Source/Net/Message/MessageReader.cpp
+++ b/Source/Net/Message/MessageReader.cpp
@@ -29,8 +29,7 @@
   request Request;
   response Response;
   size_t HeadBytes = 0;
-  /// Bytes acquired from the budget that all readers share.
-  size_t HeldBytes = 0;
+  std::optional<size_t> Announced;
   bool InValue = false;
   bool InMessage = false;
   bool HeadRead = false;
@@ -39,17 +38,6 @@
   bool NoBody = false;
   read_error Error = read_error::None;
 
-  state() = default;
-  ~state() { releaseHeld(); }
-  state(const state &) = delete;
-  state &operator=(const state &) = delete;
-
-  void releaseHeld() {
-    if (Limits.Budget)
-      Limits.Budget->release(HeldBytes);
-    HeldBytes = 0;
-  }
-
   header_list &headers() {
     return Kind == message_kind::Request ? Request.Headers : Response.Headers;
   }
@@ -113,18 +101,16 @@
       Error = read_error::BodyTooLarge;
       return -1;
     }
+    if (KnownLength && !NoBody)
+      Announced = HeadBytes + Parser.content_length;
     return NoBody ? 1 : 0;
   }
 
   int onBody(std::string_view Bytes) {
-    const bool Fits =
-        body().size() + Bytes.size() <= Limits.BodyBytes &&
-        (!Limits.Budget || Limits.Budget->tryAcquire(Bytes.size()));
-    if (!Fits) {
+    if (body().size() + Bytes.size() > Limits.BodyBytes) {
       Error = read_error::BodyTooLarge;
       return 1;
     }
-    HeldBytes += Limits.Budget ? Bytes.size() : 0;
     body().append(Bytes);
     return 0;
   }
@@ -141,10 +127,10 @@
     http_parser_init(&Parser, Kind == message_kind::Request ? HTTP_REQUEST
                                                             : HTTP_RESPONSE);
     Parser.data = this;
-    releaseHeld();
     Request = request();
     Response = response();
     HeadBytes = 0;
+    Announced.reset();
     InValue = false;
     InMessage = false;
     HeadRead = false;
@@ -226,14 +212,17 @@
 read_error message_reader::error() const { return State->Error; }
 bool message_reader::inMessage() const { return State->InMessage; }
 bool message_reader::headRead() const { return State->HeadRead; }
+size_t message_reader::heldBytes() const {
+  return State->HeadBytes + State->body().size();
+}
+std::optional<size_t> message_reader::announcedBytes() const {
+  return State->Announced;
+}
 bool message_reader::keepsAlive() const { return State->KeepsAlive; }
 void message_reader::expectNoBody(bool NoBody) { State->NoBody = NoBody; }
 
 void message_reader::setLimits(const reader_limits &Limits) {
-  // What the current message holds stays with the budget that it came from.
-  const auto Budget = State->Limits.Budget;
   State->Limits = Limits;
-  State->Limits.Budget = Budget;
 }
 
 bool message_reader::expectsContinue() const {
--- a/Source/Net/Message/MessageReader.h
+++ b/Source/Net/Message/MessageReader.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include <absl/status/statusor.h>
@@ -13,34 +14,10 @@
 /// Whether a reader parses requests or responses.
 enum class message_kind : uint8_t { Request, Response };
 
-/// Bounds the bytes of bodies that several readers hold together while they
-/// read them. Not thread-safe.
-class body_budget {
-public:
-  explicit body_budget(size_t Limit) : Limit(Limit) {}
-
-  /// False if \p Bytes more would exceed the limit.
-  bool tryAcquire(size_t Bytes) {
-    if (Bytes > Limit - Used)
-      return false;
-    Used += Bytes;
-    return true;
-  }
-  void release(size_t Bytes) { Used -= Bytes; }
-
-  size_t used() const { return Used; }
-
-private:
-  const size_t Limit;
-  size_t Used = 0;
-};
-
 /// Size limits of one message.
 struct reader_limits {
   size_t HeadBytes = size_t{64} * 1024;
   size_t BodyBytes = size_t{64} * 1024 * 1024;
-  /// Shared with other readers; null for no bound on the sum.
-  std::shared_ptr<body_budget> Budget = nullptr;
 };
 
 /// Why a message cannot be parsed.
@@ -71,6 +48,10 @@
   bool inMessage() const;
   /// Whether the head of the current message was read.
   bool headRead() const;
+  /// Bytes that the current message holds.
+  size_t heldBytes() const;
+  /// Bytes that the current message will hold, if its head says so.
+  std::optional<size_t> announcedBytes() const;
   /// Whether the current request expects "100 Continue" before its body.
   bool expectsContinue() const;
 
--- a/Source/Net/Message/ServerConnection.cpp
+++ b/Source/Net/Message/ServerConnection.cpp
@@ -10,6 +10,8 @@
 constexpr std::chrono::seconds LingerTime{1};
 /// Unsent bytes of responses above which no more is read from a caller.
 constexpr size_t MaxUnsentBytes = size_t{1024} * 1024;
+/// Smaller bodies are sent in one piece with their head.
+constexpr size_t LargeBodyBytes = size_t{64} * 1024;
 
 constexpr event::keepalive_limits CallerKeepalive{std::chrono::seconds(10),
                                                   std::chrono::seconds(5)};
@@ -19,6 +21,7 @@
 constexpr int BadRequest = 400;
 constexpr int RequestTimeout = 408;
 constexpr int ContentTooLarge = 413;
+constexpr int ServiceUnavailable = 503;
 constexpr int HeadersTooLarge = 431;
 
 int statusOf(read_error Error) {
@@ -50,7 +53,15 @@
                                      closed_hook OnClosed)
     : Loop(Loop), Hooks(Hooks), OnClosed(std::move(OnClosed)),
       Limits(Hooks.Limits()), Reader(message_kind::Request, Limits.Reader),
-      LastActivity(Loop.now()), MessageStart(Loop.now()) {}
+      // Each connection has a share of its own.
+      Meter(Loop, Limits.Shares,
+            {std::string(), reinterpret_cast<uint64_t>(this)}),
+      LastActivity(Loop.now()), MessageStart(Loop.now()) {
+  memory_meter::hooks MeterHooks;
+  MeterHooks.OnRoom = [this] { resume(); };
+  MeterHooks.OnGiveUp = [this] { refuseForMemory(); };
+  Meter.setHooks(std::move(MeterHooks));
+}
 
 std::shared_ptr<server_connection>
 server_connection::open(event::event_loop &Loop, int Descriptor,
@@ -68,8 +79,10 @@
       Self->onEnd();
   };
   StreamHooks.OnDrained = [Weak] {
-    if (const auto Self = Weak.lock())
-      Self->Stream->pauseReading(false);
+    if (const auto Self = Weak.lock()) {
+      Self->UnsentMemory.clear();
+      Self->updateReading();
+    }
   };
   Connection->Stream =
       event::tcp_stream::adopt(Loop, Descriptor, std::move(StreamHooks));
@@ -93,12 +106,21 @@
       return;
     if (!Reader.inMessage())
       MessageStart = Loop.now();
+    if (!hasRoom()) {
+      updateReading();
+      return;
+    }
     const size_t Consumed = Reader.feed(Buffered);
     Buffered.erase(0, Consumed);
     if (Reader.error() != read_error::None) {
       respondToReadError(Reader.error());
       return;
     }
+    if (!Meter.canEverHold(std::max(Reader.heldBytes(),
+                                    Reader.announcedBytes().value_or(0)))) {
+      respondToReadError(read_error::BodyTooLarge);
+      return;
+    }
     if (!Reader.complete()) {
       sendContinue();
       return;
@@ -107,6 +129,36 @@
   }
 }
 
+bool server_connection::hasRoom() {
+  // A request that waits is refused soon, whether or not its length is known:
+  // its caller can come back.
+  return Meter.acquire(std::max(Reader.heldBytes() + Buffered.size(),
+                                Reader.announcedBytes().value_or(0)),
+                       /*LengthKnown=*/false);
+}
+
+void server_connection::resume() {
+  if (!Stream->isOpen())
+    return;
+  const auto Self = shared_from_this();
+  readBuffered();
+  updateReading();
+}
+
+void server_connection::updateReading() {
+  Stream->pauseReading(Stream->unsent() > MaxUnsentBytes || Meter.isWaiting());
+}
+
+void server_connection::refuseForMemory() {
+  const auto Self = shared_from_this();
+  Meter.release();
+  Buffered.clear();
+  response Refusal;
+  Refusal.Status = ServiceUnavailable;
+  Refusal.Headers.add("Retry-After", "1");
+  respondUnread(std::move(Refusal));
+}
+
 void server_connection::sendContinue() {
   if (!Calls.empty() || ContinueSent || !Reader.expectsContinue())
     return;
@@ -118,6 +170,7 @@
   const auto Call = std::make_shared<server_call>();
   Call->KeepsAlive = Reader.keepsAlive();
   Call->Request = Reader.takeRequest();
+  Call->Memory = Meter.take();
   Call->Arrived = MessageStart;
   ContinueSent = false;
   Limits = Hooks.Limits();
@@ -133,11 +186,17 @@
 }
 
 void server_connection::respondToReadError(read_error Error) {
+  response Response;
+  Response.Status = statusOf(Error);
+  respondUnread(std::move(Response));
+}
+
+void server_connection::respondUnread(response Response) {
   ReadingStopped = true;
   const auto Call = std::make_shared<server_call>();
   Call->KeepsAlive = false;
   Call->Responded = true;
-  Call->Response.Status = statusOf(Error);
+  Call->Response = std::move(Response);
   Calls.push_back(Call);
   sendResponses();
 }
@@ -151,18 +210,31 @@
     response_framing Framing;
     Framing.Close = Last;
     Framing.OmitBody = Call->Request.Method == "HEAD";
-    Stream->write(serialize(Call->Response, Framing));
+    write(*Call, Framing);
     LastActivity = Loop.now();
     if (Last)
       finish();
   }
   if (Finishing)
     return;
-  if (Stream->unsent() > MaxUnsentBytes)
-    Stream->pauseReading(true);
+  updateReading();
   readBuffered();
 }
 
+void server_connection::write(server_call &Call,
+                              const response_framing &Framing) {
+  response &Response = Call.Response;
+  if (Response.Body.size() < LargeBodyBytes || !sendsBody(Response, Framing)) {
+    Stream->write(serialize(Response, Framing));
+  } else {
+    Stream->write(serializeHead(Response, Framing));
+    Stream->writeLarge(std::move(Response.Body));
+  }
+  if (Response.Memory && Stream->unsent() > 0)
+    UnsentMemory.push_back(std::move(Response.Memory));
+  Response = response();
+}
+
 void server_connection::finish() {
   Finishing = true;
   ReadingStopped = true;
@@ -191,6 +263,8 @@
     return;
   Loop.cancel(Timer);
   Loop.retire(shared_from_this());
+  Meter.release();
+  UnsentMemory.clear();
   Stream->close();
   Loop.retire(Stream);
   const auto Unfinished = std::move(Calls);
@@ -228,13 +302,9 @@
   const boot_time Now = Loop.now();
   const bool ReadingHead = Reader.inMessage() && !Reader.headRead();
   if (ReadingHead && Now - MessageStart >= Limits.HeadTimeout) {
-    ReadingStopped = true;
-    const auto Call = std::make_shared<server_call>();
-    Call->KeepsAlive = false;
-    Call->Responded = true;
-    Call->Response.Status = RequestTimeout;
-    Calls.push_back(Call);
-    sendResponses();
+    response Response;
+    Response.Status = RequestTimeout;
+    respondUnread(std::move(Response));
     return;
   }
   const bool Idle = Calls.empty() && !Reader.inMessage();
--- a/Source/Net/Message/ServerConnection.h
+++ b/Source/Net/Message/ServerConnection.h
@@ -3,9 +3,11 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "Net/Event/EventLoop.h"
 #include "Net/Event/TcpStream.h"
+#include "Net/Message/MemoryMeter.h"
 #include "Net/Message/Message.h"
 #include "Net/Message/MessageReader.h"
 
@@ -23,6 +25,9 @@
   duration IdleTimeout = std::chrono::seconds(60);
   /// Requests of one connection that are served concurrently.
   size_t PipelineLimit = 16;
+  /// Bounds what requests hold, of all connections that share it; null for no
+  /// bound on the sum.
+  std::shared_ptr<admission::memory_shares> Shares = nullptr;
 };
 
 /// A request that was read completely and waits for its response.
@@ -44,6 +49,8 @@
 
   std::function<void()> OnResponse;
   response Response;
+  /// What the request holds.
+  std::shared_ptr<void> Memory;
   bool Responded = false;
   bool Disconnected = false;
   bool KeepsAlive = true;
@@ -81,8 +88,19 @@
   void onBytes(std::string_view Bytes);
   void onEnd();
   void readBuffered();
+  /// Whether there is room for the buffered bytes, and for what the head of the
+  /// request announces. Otherwise nothing more is read until there is.
+  bool hasRoom();
+  void resume();
+  /// Stops or starts reading, as there is room for more.
+  void updateReading();
+  /// Refuses the request that waits for room.
+  void refuseForMemory();
+  void write(server_call &Call, const response_framing &Framing);
   void startCall();
   void respondToReadError(read_error Error);
+  /// Responds in place of a request that was not read, and closes.
+  void respondUnread(response Response);
   void sendResponses();
   void sendContinue();
   void finish();
@@ -96,7 +114,10 @@
   server_limits Limits;
   std::shared_ptr<event::tcp_stream> Stream;
   message_reader Reader;
+  memory_meter Meter;
   std::string Buffered;
+  /// Of responses of which bytes are unsent.
+  std::vector<std::shared_ptr<void>> UnsentMemory;
   std::deque<std::shared_ptr<server_call>> Calls;
   event::event_loop::timer_id Timer = 0;
   boot_time LastActivity;
--- a/Source/UnitTests/Net/Message/HttpClientTest.cpp
+++ b/Source/UnitTests/Net/Message/HttpClientTest.cpp
@@ -128,13 +128,13 @@
       *Loop, "127.0.0.1:0", [&](int Descriptor) {
         Server = std::make_unique<raw_peer>(*Loop, Descriptor);
       });
-  const auto Budget = std::make_shared<body_budget>(size_t{100} * 1000);
+  const auto Shares = magnolia::admission::memory_shares::create(300'000);
   reader_limits Limits;
   Limits.HeadBytes = size_t{20} * 1000;
   Limits.BodyBytes = size_t{60} * 1000;
-  Limits.Budget = Budget;
   const auto Client = client_connection::connect(
-      *Loop, *magnolia::event::parseAddress(Listener->address()), Limits);
+      *Loop, *magnolia::event::parseAddress(Listener->address()), Limits,
+      Shares, {"reads", 1});
   std::vector<exchange_failure> Failures;
   size_t Responses = 0;
   client_hooks Hooks;
@@ -204,10 +204,14 @@
     CHECK(SendOn("a: " + std::string(1000, 'x') + "\r\n") ==
           exchange_failure::TooLarge);
   }
-  SUBCASE("while other responses hold most of the memory for bodies") {
-    REQUIRE(Budget->tryAcquire(size_t{90} * 1000));
+  SUBCASE("while other responses hold most of the memory for messages") {
+    const auto Other = Shares->open({"orders", 2});
+    REQUIRE(Other->tryGrowTo(90'000));
+    Other->setComplete();
+    const auto Second = Shares->open({"orders", 2});
+    REQUIRE(Second->tryGrowTo(60'000));
     Server->send("HTTP/1.1 200 OK\r\n\r\n");
     CHECK(SendOn(std::string(1000, 'x')) == exchange_failure::TooLarge);
-    CHECK(Budget->used() <= size_t{100} * 1000);
+    CHECK(Shares->used() == 150'000);
   }
 }
