Serve the requests that a caller sends ahead in turns, without recursion

Change: one function reads and sends in a loop, at most 64 requests a turn, with a pause of 1 ms in which other connections have theirs. Nothing more is read from a caller while 64 KB of its requests are buffered.

Failing test before the fix, on the commit before: MessageTests "answers 100,000 requests that one caller sends ahead, in turns": the program crashed.

--- a/Source/Net/Message/ServerConnection.cpp
+++ b/Source/Net/Message/ServerConnection.cpp
@@ -10,6 +10,13 @@
 constexpr std::chrono::seconds LingerTime{1};
 /// Unsent bytes of responses above which no more is read from a caller.
 constexpr size_t MaxUnsentBytes = size_t{1024} * 1024;
+/// Bytes of requests that a caller sent ahead, above which no more is read.
+constexpr size_t MaxBufferedBytes = size_t{64} * 1024;
+/// Requests of one connection that are started before other connections have
+/// their turn.
+constexpr size_t MaxCallsPerTurn = 64;
+/// Between two turns of one connection.
+constexpr std::chrono::milliseconds TurnPause{1};
 /// Smaller bodies are sent in one piece with their head.
 constexpr size_t LargeBodyBytes = size_t{64} * 1024;
 
@@ -97,19 +104,43 @@
   if (ReadingStopped)
     return;
   Buffered.append(Bytes);
-  readBuffered();
+  process();
+}
+
+void server_connection::process() {
+  // A request that is answered at once does so within this function.
+  if (Processing || TurnScheduled)
+    return;
+  Processing = true;
+  const auto Self = shared_from_this();
+  CallsOfTurn = 0;
+  do {
+    sendResponses();
+    readBuffered();
+  } while (!Finishing && !Calls.empty() && Calls.front()->Responded);
+  Processing = false;
+  if (Finishing)
+    return;
+  updateReading();
+  if (CallsOfTurn < MaxCallsPerTurn)
+    return;
+  TurnScheduled = true;
+  Loop.callAfter(TurnPause, [Weak = weak_from_this()] {
+    if (const auto Live = Weak.lock()) {
+      Live->TurnScheduled = false;
+      Live->process();
+    }
+  });
 }
 
 void server_connection::readBuffered() {
   while (!ReadingStopped && !Buffered.empty()) {
-    if (Calls.size() >= Limits.PipelineLimit)
+    if (Calls.size() >= Limits.PipelineLimit || CallsOfTurn >= MaxCallsPerTurn)
       return;
     if (!Reader.inMessage())
       MessageStart = Loop.now();
-    if (!hasRoom()) {
-      updateReading();
+    if (!hasRoom())
       return;
-    }
     const size_t Consumed = Reader.feed(Buffered);
     Buffered.erase(0, Consumed);
     if (Reader.error() != read_error::None) {
@@ -141,12 +172,12 @@
   if (!Stream->isOpen())
     return;
   const auto Self = shared_from_this();
-  readBuffered();
-  updateReading();
+  process();
 }
 
 void server_connection::updateReading() {
-  Stream->pauseReading(Stream->unsent() > MaxUnsentBytes || Meter.isWaiting());
+  Stream->pauseReading(Stream->unsent() > MaxUnsentBytes || Meter.isWaiting() ||
+                       Buffered.size() > MaxBufferedBytes);
 }
 
 void server_connection::refuseForMemory() {
@@ -179,9 +210,10 @@
     ReadingStopped = true;
   Call->OnResponse = [Weak = weak_from_this()] {
     if (const auto Self = Weak.lock())
-      Self->sendResponses();
+      Self->process();
   };
   Calls.push_back(Call);
+  ++CallsOfTurn;
   Hooks.OnCall(Call);
 }
 
@@ -198,7 +230,7 @@
   Call->Responded = true;
   Call->Response = std::move(Response);
   Calls.push_back(Call);
-  sendResponses();
+  process();
 }
 
 void server_connection::sendResponses() {
@@ -215,10 +247,6 @@
     if (Last)
       finish();
   }
-  if (Finishing)
-    return;
-  updateReading();
-  readBuffered();
 }
 
 void server_connection::write(server_call &Call,
@@ -263,6 +291,8 @@
     return;
   Loop.cancel(Timer);
   Loop.retire(shared_from_this());
+  ReadingStopped = true;
+  Buffered.clear();
   Meter.release();
   UnsentMemory.clear();
   Stream->close();
--- a/Source/Net/Message/ServerConnection.h
+++ b/Source/Net/Message/ServerConnection.h
@@ -87,6 +87,8 @@
                     closed_hook OnClosed);
   void onBytes(std::string_view Bytes);
   void onEnd();
+  /// Reads buffered requests and sends responses, for one turn.
+  void process();
   void readBuffered();
   /// Whether there is room for the buffered bytes, and for what the head of the
   /// request announces. Otherwise nothing more is read until there is.
@@ -122,6 +124,10 @@
   event::event_loop::timer_id Timer = 0;
   boot_time LastActivity;
   boot_time MessageStart;
+  size_t CallsOfTurn = 0;
+  bool Processing = false;
+  /// The next turn follows without new bytes.
+  bool TurnScheduled = false;
   bool ContinueSent = false;
   bool ReadingStopped = false;
   bool Finishing = false;
--- a/Source/UnitTests/Net/Message/HttpServerTest.cpp
+++ b/Source/UnitTests/Net/Message/HttpServerTest.cpp
@@ -66,6 +66,58 @@
     Calls[0]->respond(responseWith("first"));
     CHECK(Until([&] { return Calls.size() == 4; }));
   }
+  // Guards against a recursion that ended the process when one caller's
+  // requests, sent ahead, were refused one after another.
+  SUBCASE("answers 100,000 requests that one caller sends ahead, in turns") {
+    constexpr size_t Count = 100'000;
+    size_t Answered = 0;
+    size_t AnsweredToFlooder = 0;
+    size_t MaxBetween = 0;
+    server_hooks Refusing = Hooks;
+    size_t SinceOther = 0;
+    std::vector<std::shared_ptr<server_call>> Held;
+    bool Holds = true;
+    Refusing.OnCall = [&](const std::shared_ptr<server_call> &Call) {
+      if (Holds) {
+        Held.push_back(Call);
+        return;
+      }
+      const bool IsOther = Call->Request.Target == "/other";
+      SinceOther = IsOther ? 0 : SinceOther + 1;
+      MaxBetween = std::max(MaxBetween, SinceOther);
+      ++(IsOther ? Answered : AnsweredToFlooder);
+      response Refusal;
+      Refusal.Status = 401;
+      Call->respond(std::move(Refusal));
+    };
+    const auto Second = *http_server::open(*Loop, "127.0.0.1:0", Refusing, 10);
+    raw_peer Flooder(*Loop, Second->address());
+    std::string All;
+    for (size_t Index = 0; Index < Count; ++Index)
+      All += Get("/1");
+    Flooder.send(All);
+    REQUIRE(Until([&] { return Held.size() == Limits.PipelineLimit; }));
+    Loop->runUntil([] { return false; }, milliseconds(300));
+    Holds = false;
+    for (const auto &Call : Held)
+      Call->respond(responseWith("held"));
+    raw_peer Other(*Loop, Second->address());
+    // The other caller sends a request whenever its last one was answered.
+    size_t Sent = 0;
+    const bool Finished = Loop->runUntil(
+        [&] {
+          if (Answered == Sent && AnsweredToFlooder < Count - Held.size()) {
+            Other.send(Get("/other"));
+            ++Sent;
+          }
+          return AnsweredToFlooder == Count - Held.size();
+        },
+        seconds(60));
+    CHECK(Finished);
+    CHECK(Answered >= 100);
+    // A few turns of the loop, and not the whole flood.
+    CHECK(MaxBetween <= 1000);
+  }
   SUBCASE("detects at once that a caller disconnects") {
     bool Disconnected = false;
     Caller.send(Get("/1"));
