Send a last response for as long as its caller fetches it

The same happened after Connection: close and after the idle timeout.

Cause: the time for which a connection is read after its last response, so that a reset does not destroy it, ran from the moment at which the response was handed to the stream, and nobody looked at what was still unsent.

Change: while bytes are unsent and the caller fetches some of them every two seconds, the connection stays; the second begins after the last byte. The idle timeout does not count while bytes are unsent. A caller that fetches nothing for two seconds of a last response is dropped.

--- a/Source/Net/Message/ServerConnection.cpp
+++ b/Source/Net/Message/ServerConnection.cpp
@@ -8,6 +8,8 @@
 /// How long a connection is still read after its sending side was shut down, so
 /// that a reset does not destroy the last response.
 constexpr std::chrono::seconds LingerTime{1};
+/// A caller that fetches nothing of the last response for this long is dropped.
+constexpr std::chrono::seconds StalledTime{2};
 /// Unsent bytes of responses above which no more is read from a caller.
 constexpr size_t MaxUnsentBytes = size_t{1024} * 1024;
 /// Bytes of requests that a caller sent ahead, above which no more is read.
@@ -87,6 +89,7 @@
   };
   StreamHooks.OnDrained = [Weak] {
     if (const auto Self = Weak.lock()) {
+      Self->LastActivity = Self->Loop.now();
       Self->UnsentMemory.clear();
       Self->updateReading();
     }
@@ -273,11 +276,25 @@
   }
   Calls.clear();
   Stream->finishWriting();
+  linger(Stream->unsent());
+}
+
+void server_connection::linger(size_t UnsentBefore) {
   Loop.cancel(Timer);
-  Timer = Loop.callAfter(LingerTime, [Weak = weak_from_this()] {
-    if (const auto Self = Weak.lock())
-      Self->closeNow();
-  });
+  const bool Sends = UnsentBefore > 0;
+  Timer = Loop.callAfter(Sends ? StalledTime : LingerTime,
+                         [Weak = weak_from_this(), UnsentBefore] {
+                           if (const auto Self = Weak.lock())
+                             Self->onLingered(UnsentBefore);
+                         });
+}
+
+void server_connection::onLingered(size_t UnsentBefore) {
+  // As long as the caller fetches the last response, it gets the rest.
+  if (Stream->unsent() < UnsentBefore)
+    linger(Stream->unsent());
+  else
+    closeNow();
 }
 
 void server_connection::onEnd() {
@@ -337,7 +354,8 @@
     respondUnread(std::move(Response));
     return;
   }
-  const bool Idle = Calls.empty() && !Reader.inMessage();
+  const bool Idle =
+      Calls.empty() && !Reader.inMessage() && Stream->unsent() == 0;
   if (Idle && Now - LastActivity >= Limits.IdleTimeout) {
     closeNow();
     return;
--- a/Source/Net/Message/ServerConnection.h
+++ b/Source/Net/Message/ServerConnection.h
@@ -106,6 +106,9 @@
   void sendResponses();
   void sendContinue();
   void finish();
+  /// Waits until the caller has fetched the last response or stops to.
+  void linger(size_t UnsentBefore);
+  void onLingered(size_t UnsentBefore);
   void closeNow();
   void armTimer();
   void onTimer();
--- a/Source/UnitTests/Net/Message/HttpServerTest.cpp
+++ b/Source/UnitTests/Net/Message/HttpServerTest.cpp
@@ -139,6 +139,38 @@
     CHECK(ClosePosition != std::string::npos);
     CHECK(ClosePosition > Caller.Received.find("first"));
   }
+  // Guards against a response that is cut one second after it began, while its
+  // caller fetches it.
+  SUBCASE("sends a last response for as long as its caller fetches it") {
+    constexpr size_t BodyBytes = size_t{24} * 1024 * 1024;
+    Closing = true;
+    Caller.send(Get("/1"));
+    REQUIRE(Until([&] { return Calls.size() == 1; }));
+    Calls[0]->respond(responseWith(std::string(BodyBytes, '.')));
+    const auto Began = Loop->now();
+    // A part every 15 ms: about three seconds.
+    while (!Caller.Ended && Loop->now() - Began < seconds(20)) {
+      Caller.pauseReading(true);
+      Loop->runUntil([] { return false; }, milliseconds(15));
+      Caller.pauseReading(false);
+      const size_t Before = Caller.Received.size();
+      Loop->runUntil(
+          [&] { return Caller.Ended || Caller.Received.size() > Before; },
+          milliseconds(100));
+    }
+    CHECK(Loop->now() - Began > seconds(2));
+    CHECK(Caller.Received.size() > BodyBytes);
+  }
+  SUBCASE("drops a caller that fetches nothing of the last response") {
+    Closing = true;
+    Caller.send(Get("/1"));
+    REQUIRE(Until([&] { return Calls.size() == 1; }));
+    Caller.pauseReading(true);
+    Calls[0]->respond(responseWith(std::string(size_t{24} * 1024 * 1024, '.')));
+    CHECK(Server->connections() == 1);
+    CHECK(
+        Loop->runUntil([&] { return Server->connections() == 0; }, seconds(6)));
+  }
   SUBCASE("keeps a connection with a request open when it closes idle ones") {
     Caller.send(Get("/1"));
     REQUIRE(Until([&] { return Calls.size() == 1; }));
--- a/Source/UnitTests/Net/Message/RawPeer.h
+++ b/Source/UnitTests/Net/Message/RawPeer.h
@@ -17,6 +17,7 @@
   raw_peer(event::event_loop &Loop, int Descriptor);
 
   void send(std::string_view Bytes) { Stream->write(Bytes); }
+  void pauseReading(bool Paused) { Stream->pauseReading(Paused); }
   void finish() { Stream->finishWriting(); }
   void close() { Stream->close(); }
   /// Ends the connection with a reset.
