--- a/Source/Core/Fleet/FetchPlan.cpp
+++ b/Source/Core/Fleet/FetchPlan.cpp
@@ -109,7 +109,7 @@
                        [](const attempt &Left, const attempt &Right) {
                          return Left.LastBytes < Right.LastBytes;
                        });
-  const std::string Source = Silent->Source;
+  std::string Source = Silent->Source;
   onResult(Source, fetch_result::Failed, Now);
   return Source;
 }
