Say for how long a table was missing also where its source was given up

Cause: a fetch that was no longer needed was logged with behind_ms 0, since the content that had just arrived had reset the time.

Change: the fetches that are not needed any more end before that.

--- a/Source/Gateway/ContentFetch.cpp
+++ b/Source/Gateway/ContentFetch.cpp
@@ -121,6 +121,8 @@
   else if (End == fetch_end::Received)
     Outcome = "unusable";
   logEnd(PeerName, Outcome, AskedAt);
+  if (Result == fetch_result::Received)
+    onChange();
   Plan.onResult(PeerName, Result, Loop.now());
   decide();
 }
