Split what an instance learns of its targets out of Gateway.cpp

Whether the store is the last resort was worked out ten times a second, with the order of the whole domain, also while nothing is missing.

--- a/Source/Gateway/ContentFetch.cpp
+++ b/Source/Gateway/ContentFetch.cpp
@@ -31,7 +31,7 @@
 }
 
 bool content_fetch::needsStore() const {
-  return Plan.needsStore(rank(), Loop.now());
+  return Plan.isBehind() && Plan.needsStore(rank(), Loop.now());
 }
 
 size_t content_fetch::rank() const {
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -10,7 +10,6 @@
 #include "Common/Log.h"
 #include "Gateway/Exchange.h"
 #include "Gateway/RequestLog.h"
-#include "Net/Event/Address.h"
 
 namespace magnolia::gateway {
 namespace {
@@ -21,17 +20,11 @@
 constexpr std::chrono::milliseconds SweepPeriod{500};
 constexpr size_t MaxPeerConnections = 512;
 constexpr size_t MaxPeerHeadBytes = size_t{8} * 1024;
-constexpr std::chrono::milliseconds ArrivalResetDelay{25};
 /// With fewer instances than this in a caller's failure domain, the directory
 /// lists all instances.
 constexpr size_t MinNearbyInstances = 2;
 constexpr size_t MaxDirectoryEntries = 64;
 
-/// Whether the target is more likely gray than not.
-bool isSuspected(const placement::target &Target, boot_time Now) {
-  return Target.Fleet.probabilityAt(Now) > 0.5;
-}
-
 } // namespace
 
 gateway::gateway(event::event_loop &Loop, settings Given, environment Provided)
@@ -361,108 +354,6 @@
   exchange::begin(*this, Call);
 }
 
-void gateway::observe(std::string_view RequestId, placement::target &Target,
-                      placement::evidence Evidence, boot_time SentAt) {
-  const boot_time Now = Loop.now();
-  const bool WasSuspected = isSuspected(Target, Now);
-  TargetSet.observe(Target, Evidence, SentAt, Now);
-  const bool IsNews = !WasSuspected && isSuspected(Target, Now);
-  if (Evidence != placement::evidence::Unreachable)
-    Fleet->report(Target, Evidence, SentAt, IsNews);
-  logEvidence(RequestId, Target, Evidence, Now - SentAt, Now);
-}
-
-void gateway::onTargetDraining(std::string_view RequestId,
-                               placement::target &Target) {
-  if (Target.isDraining())
-    return;
-  const boot_time Now = Loop.now();
-  TargetSet.observe(Target, placement::evidence::Draining, Now, Now);
-  Fleet->report(Target, placement::evidence::Draining, Now, true);
-  common::log(log_level::Info, Component, "target says it is draining",
-              {{"id", RequestId}, {"target", Target.Entry.Id}});
-}
-
-void gateway::onTargetLimit(const placement::target &Target,
-                            std::optional<double> PerSecond) {
-  if (!Fleet->limits().state(Target.Key, PerSecond, Loop.now()))
-    return;
-  logTargetLimit(Target, PerSecond, limit_source::Target);
-  Fleet->announce();
-}
-
-void gateway::onConnectionLost(placement::lost_connection Lost) {
-  logConnectionLost(Lost, Loop.now());
-  checkEnded(Lost);
-  placement::target_set::observePath(*Lost.Target, placement::evidence::Broken,
-                                     Lost.SentAt, Loop.now());
-  if (!Losses.add(std::move(Lost)))
-    return;
-  Loop.callAfter(Settings.Losses.Window, [this] {
-    const size_t InUse = TargetSet.ownInFlight().size();
-    const auto TargetLosses = Losses.take(InUse);
-    if (TargetLosses.empty())
-      common::log(log_level::Warning, Component,
-                  "connections to many targets lost at once",
-                  {{"targets_in_use", InUse}});
-    for (const placement::lost_connection &Each : TargetLosses)
-      observe(Each.RequestId, *Each.Target, placement::evidence::Broken,
-              Each.SentAt);
-  });
-}
-
-std::shared_ptr<message::client_connection>
-gateway::connectTo(const placement::target &Target) {
-  const auto Address = event::parseAddress(Target.Entry.Address);
-  if (!Address.ok())
-    return nullptr;
-  ++Counters.Connections;
-  message::reader_limits Limits;
-  Limits.BodyBytes = Settings.Forward.MaxResponseBytes;
-  auto Connection = message::client_connection::connect(
-      Loop, *Address, Limits, Memory, {Target.Entry.Service, Target.Key});
-  if (Connection)
-    Connection->setKeepaliveLimits(
-        {Settings.Forward.UnacknowledgedTimeout, std::chrono::seconds(2)});
-  return Connection;
-}
-
-void gateway::checkEnded(const placement::lost_connection &Lost) {
-  const boot_time Now = Loop.now();
-  const fleet::ended_run Run = {Lost.Target->Key, Lost.SentAt, Now};
-  const auto Before = LostRequests.remember(Lost.Fingerprint, Run);
-  const bool IsKnown = Before || Fleet->quarantine().contains(Lost.Fingerprint);
-  // A target that resets a single request does so on its arrival. If the
-  // request ended it after all, its next attempt is lost too.
-  const bool ResetOnArrival = Now - Lost.SentAt <= ArrivalResetDelay;
-  if (ResetOnArrival && Lost.MayBeSentAgain && !IsKnown)
-    return;
-  const auto Check = [this, &Lost](const placement::target_ref &Target,
-                                   const fleet::ended_run &At) {
-    EndCheck.check(Target, [this, Lost, At] { onTargetEnded(Lost, At); });
-  };
-  Check(Lost.Target, Run);
-  if (!Before || Before->Target == Run.Target)
-    return;
-  if (const auto Target = TargetSet.find(Before->Target))
-    Check(Target, *Before);
-}
-
-void gateway::onTargetEnded(const placement::lost_connection &Lost,
-                            const fleet::ended_run &Run) {
-  fleet::request_quarantine &Quarantine = Fleet->quarantine();
-  const boot_time Now = Loop.now();
-  const bool IsNew = Quarantine.recordEnded(Lost.Fingerprint, Run, Now);
-  const size_t Ended = Quarantine.endedTargets(Lost.Fingerprint);
-  const auto Until = Quarantine.quarantinedUntil(Lost.Fingerprint, Now);
-  logTargetEnded(Lost, Ended, Until ? *Until - Now : duration::zero());
-  // A single loss is hardly ever more than chance.
-  if (Ended > 1)
-    Fleet->announce();
-  if (IsNew)
-    Fleet->storeQuarantine(Lost.Fingerprint);
-}
-
 bool gateway::ready() const { return !ShuttingDown && Routes && TargetsRead; }
 
 std::vector<std::string>
