Refuse a body for which an instance never has the memory as not run

Cause: a body that is within the operator's limit and larger than what this instance can hold got 413, which says that it is never accepted; another instance may have more memory. While a caller's next turn was due, its bytes were read without the bound on what it sends ahead.

Change: such a body gets 503 with Retry-After, before it is read; the bound holds between turns too.

--- a/Source/Net/Message/ServerConnection.cpp
+++ b/Source/Net/Message/ServerConnection.cpp
@@ -112,8 +112,12 @@
 
 void server_connection::process() {
   // A request that is answered at once does so within this function.
-  if (Processing || TurnScheduled)
+  if (Processing)
     return;
+  if (TurnScheduled) {
+    updateReading();
+    return;
+  }
   Processing = true;
   const auto Self = shared_from_this();
   CallsOfTurn = 0;
@@ -152,7 +156,8 @@
     }
     if (!Meter.canEverHold(std::max(Reader.heldBytes(),
                                     Reader.announcedBytes().value_or(0)))) {
-      respondToReadError(read_error::BodyTooLarge);
+      // Another instance may have more memory.
+      refuseForMemory();
       return;
     }
     if (!Reader.complete()) {
--- a/Source/UnitTests/Net/Message/HttpServerTest.cpp
+++ b/Source/UnitTests/Net/Message/HttpServerTest.cpp
@@ -187,6 +187,30 @@
     CHECK(Caller.Received.starts_with("HTTP/1.1 400 "));
     CHECK(Calls.empty());
   }
+  SUBCASE("refuses at once a body for which it never has the memory") {
+    Limits.Shares = magnolia::admission::memory_shares::create(30'000);
+    raw_peer Large(*Loop, Server->address());
+    Large.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n");
+    CHECK(Until([&] { return Large.Ended; }));
+    CHECK(Large.Received.find("HTTP/1.1 503 ") == 0);
+    CHECK(Large.Received.find("Retry-After: 1\r\n") != std::string::npos);
+    CHECK(Calls.empty());
+  }
+  SUBCASE("refuses a body that waits for memory, and not the others") {
+    Limits.Shares = magnolia::admission::memory_shares::create(300'000);
+    const auto Held = Limits.Shares->open({"reads", 1});
+    REQUIRE(Held->tryGrowTo(90'000));
+    Held->setComplete();
+    raw_peer Large(*Loop, Server->address());
+    Large.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 90000\r\n\r\n" +
+               std::string(80'000, '.'));
+    raw_peer Small(*Loop, Server->address());
+    Small.send(Get("/1"));
+    CHECK(Until([&] { return Calls.size() == 1; }));
+    CHECK(Until([&] { return Large.Ended; }));
+    CHECK(Large.Received.find("HTTP/1.1 503 ") == 0);
+    CHECK(Limits.Shares->used() < 91'000);
+  }
   SUBCASE("responds to a head that is too large") {
     Caller.send("GET / HTTP/1.1\r\nA: " + std::string(600, 'x') + "\r\n\r\n");
     REQUIRE(Until([&] { return Caller.Ended; }));
