Tell how much room a service has, as one instance knows it

Cause: nothing says whether a service is short of capacity, so no decision can depend on it: who waits, who is refused, whether a second send makes it worse. Change: target_set::roomOf() counts the slots of usable targets and those that no known request uses. Measured: PlacementTests; nothing uses it yet.

--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -99,6 +99,19 @@
   return Count;
 }
 
+service_room target_set::roomOf(std::string_view Service, boot_time Now) const {
+  service_room Room;
+  for (const target_ref &Target : targetsOf(Service)) {
+    if (Target->isDraining() || Now < Target->PausedUntil ||
+        Target->Fleet.probabilityAt(Now) >= Settings.MaxProbeRisk)
+      continue;
+    const uint32_t Capacity = Target->Entry.Capacity;
+    Room.Slots += Capacity;
+    Room.FreeSlots += Capacity - std::min(Capacity, inFlightAt(*Target, Now));
+  }
+  return Room;
+}
+
 bool target_set::isOverCapacity(const target &Target, boot_time Now) const {
   return inFlightAt(Target, Now) > Target.Entry.Capacity;
 }
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -11,6 +11,7 @@
 #include <absl/types/span.h>
 
 #include "Placement/GrayEstimator.h"
+#include "Placement/ServiceRoom.h"
 #include "Placement/TargetEntry.h"
 
 namespace magnolia::placement {
@@ -201,6 +202,11 @@
   /// All targets of \p Service.
   const std::vector<target_ref> &targetsOf(std::string_view Service) const;
 
+  /// The room of \p Service: slots of targets that are neither draining nor
+  /// paused, and those in use by known requests. Targets that are probably gray
+  /// do not count.
+  service_room roomOf(std::string_view Service, boot_time Now) const;
+
   /// Whether the known requests in flight to \p Target exceed its capacity, so
   /// that the last ones queue at the target.
   bool isOverCapacity(const target &Target, boot_time Now) const;
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -58,6 +58,22 @@
     Query.Tried = Tried;
     CHECK(Draw(50) == std::map<std::string, int>{{"d", 50}});
   }
+  SUBCASE("and knows how much room the service has") {
+    for (const char *Id : {"a", "b", "c", "d"})
+      Succeed(Id);
+    CHECK(Targets.roomOf("fitting", Now).Slots == 0);
+    CHECK_FALSE(Targets.roomOf("fitting", Now).isUsedUp());
+    CHECK(Targets.roomOf("orders", Now).Slots == 24);
+    Targets.find("a")->OwnInFlight = 9;
+    const std::vector<target_set::in_flight> AtPeer = {
+        {Targets.find("b")->Key, 4}};
+    Targets.setPeerInFlight(7, AtPeer, Now);
+    CHECK(Targets.roomOf("orders", Now).FreeSlots == 14);
+    Targets.observe(*Targets.find("c"), evidence::Broken, Now, Now);
+    target_set::pause(*Targets.find("d"), seconds(1), Now);
+    CHECK(Targets.roomOf("orders", Now).Slots == 12);
+    CHECK(Targets.roomOf("orders", Now).FreeSlots == 2);
+  }
   SUBCASE("not one that has just failed") {
     for (const char *Id : {"a", "b", "c", "d"})
       Succeed(Id);
