Evacuate a failure domain when the operator asks for it

Cause: rows evacuate/DOMAIN beside the configuration were ignored, so that requests went on to the targets of an evacuated failure domain.

Change: placement::evacuations derives the evacuated domains from the rows of the replica; evacuation_control reads them, logs and marks the targets, which leave every choice (attempts, retries, second sends, probes, kept and opening connections). A service with all targets evacuated refuses at once with service_evacuated, before the request is charged to the rate; for that the check of the key is a step of its own.

--- a/Source/Core/Common/ErrorKind.cpp
+++ b/Source/Core/Common/ErrorKind.cpp
@@ -36,6 +36,8 @@
     {"queue_full", 503, NotRun, RetrySoon},
     {"queue_deadline_exceeded", 503, NotRun, RetrySoon},
     {"no_target_available", 503, NotRun, RetryLater},
+    {"service_evacuated", 503, NotRun, RetryLater},
+    {"no_target_in_region", 503, NotRun, RetryLater},
     {"request_quarantined", 503, NotRun, RetryLater},
     {"configuration_missing", 503, NotRun, RetryLater},
     {"configuration_stale", 503, NotRun, RetryLater},
--- a/Source/Core/Common/ErrorKind.h
+++ b/Source/Core/Common/ErrorKind.h
@@ -31,6 +31,11 @@
   QueueFull,
   QueueDeadlineExceeded,
   NoTargetAvailable,
+  /// All targets of the service are in evacuated failure domains.
+  ServiceEvacuated,
+  /// No target of the service is in a region that the route and the workspace
+  /// allow.
+  NoTargetInRegion,
   /// Targets ended one after the other while they ran this request.
   RequestQuarantined,
   ConfigurationMissing,
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -46,6 +46,7 @@
       Existing->Entry.Service == Entry.Service;
   if (SameIncarnation) {
     Existing->Entry = Entry;
+    Existing->Evacuated = EvacuatedDomains.contains(Entry.FailureDomain);
     return;
   }
   if (Existing)
@@ -53,6 +54,7 @@
   const auto Added = std::make_shared<target>(Entry, Settings, *Pattern);
   Added->Key = keyOf(Entry);
   Added->AddedAt = Now;
+  Added->Evacuated = EvacuatedDomains.contains(Entry.FailureDomain);
   ById[Entry.Id] = Added;
   ByKey[Added->Key] = Added;
   ByService[Entry.Service].push_back(Added);
@@ -70,6 +72,42 @@
   std::erase(Others, Removed);
 }
 
+void target_set::setEvacuated(absl::Span<const std::string> Domains) {
+  EvacuatedDomains = {Domains.begin(), Domains.end()};
+  for (const auto &[Id, Target] : ById)
+    Target->Evacuated = EvacuatedDomains.contains(Target->Entry.FailureDomain);
+}
+
+bool target_set::isEvacuated(std::string_view Service,
+                             const domain_filter &Domains) const {
+  bool Any = false;
+  for (const target_ref &Target : targetsOf(Service)) {
+    if (!Domains.allows(Target->Entry.FailureDomain))
+      continue;
+    if (Target->isAvailable())
+      return false;
+    Any |= !Target->isDraining();
+  }
+  return Any;
+}
+
+bool target_set::isOutside(std::string_view Service,
+                           const domain_filter &Domains) const {
+  const std::vector<target_ref> &Targets = targetsOf(Service);
+  return !Targets.empty() &&
+         std::none_of(Targets.begin(), Targets.end(),
+                      [&](const target_ref &Target) {
+                        return Domains.allows(Target->Entry.FailureDomain);
+                      });
+}
+
+size_t target_set::sizeOfDomain(std::string_view Domain) const {
+  return static_cast<size_t>(
+      std::count_if(ById.begin(), ById.end(), [&](const auto &Entry) {
+        return Entry.second->Entry.FailureDomain == Domain;
+      }));
+}
+
 target_ref target_set::find(std::string_view Id) const {
   const auto Found = ById.find(toAbsl(Id));
   return Found == ById.end() ? nullptr : Found->second;
@@ -102,7 +140,7 @@
 service_room target_set::roomOf(std::string_view Service, boot_time Now) const {
   service_room Room;
   for (const target_ref &Target : targetsOf(Service)) {
-    if (Target->isDraining() || Now < Target->PausedUntil ||
+    if (!Target->isAvailable() || Now < Target->PausedUntil ||
         Target->Fleet.probabilityAt(Now) >= Settings.MaxProbeRisk)
       continue;
     const uint32_t Capacity = Target->Entry.Capacity;
@@ -144,7 +182,9 @@
 
 bool target_set::isUsable(const target &Target, const placement_query &Query,
                           boot_time Now) {
-  return !Target.isDraining() && Now >= Target.PausedUntil &&
+  return Target.isAvailable() && Now >= Target.PausedUntil &&
+         (Query.Domains == nullptr ||
+          Query.Domains->allows(Target.Entry.FailureDomain)) &&
          std::find(Query.Tried.begin(), Query.Tried.end(), Target.Key) ==
              Query.Tried.end();
 }
@@ -294,11 +334,12 @@
   Target.PausedUntil = std::max(Target.PausedUntil, Now + Pause);
 }
 
-std::optional<boot_time> target_set::pausedUntil(std::string_view Service,
-                                                 boot_time Now) const {
+std::optional<boot_time>
+target_set::pausedUntil(std::string_view Service, boot_time Now,
+                        const domain_filter &Domains) const {
   std::optional<boot_time> First;
   for (const target_ref &Target : targetsOf(Service)) {
-    if (Target->isDraining())
+    if (!Target->isAvailable() || !Domains.allows(Target->Entry.FailureDomain))
       continue;
     if (Target->PausedUntil <= Now)
       return std::nullopt;
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -7,10 +7,12 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/random/bit_gen_ref.h>
 #include <absl/types/span.h>
 
 #include "Placement/GrayEstimator.h"
+#include "Placement/HomeRegions.h"
 #include "Placement/ServiceRoom.h"
 #include "Placement/TargetEntry.h"
 
@@ -97,6 +99,8 @@
   bool Removed = false;
   /// It said so in a response, to this instance or to a peer.
   bool SaidDraining = false;
+  /// Its failure domain is evacuated.
+  bool Evacuated = false;
   /// It asked this instance not to send requests before this time.
   boot_time PausedUntil;
 
@@ -109,6 +113,9 @@
   /// Whether it gets no more requests, by its entry or by its responses. Its
   /// next incarnation is another target.
   bool isDraining() const { return Entry.Draining || SaidDraining; }
+
+  /// Whether it may get requests at all.
+  bool isAvailable() const { return !isDraining() && !Evacuated; }
 };
 
 using target_ref = std::shared_ptr<target>;
@@ -119,6 +126,8 @@
   bool Repeatable = false;
   /// Targets that have already been sent this request.
   absl::Span<const target_key> Tried;
+  /// The failure domains of the targets that it may reach; null: all.
+  const domain_filter *Domains = nullptr;
   /// Requests per second of the service over the fleet that may probe targets,
   /// and the fraction of all that fails.
   double ProbingRate = 0;
@@ -142,6 +151,20 @@
   /// Removes a target; requests in flight to it continue.
   void remove(std::string_view Id);
 
+  /// Targets in \p Domains get no more requests; all others may get them again.
+  void setEvacuated(absl::Span<const std::string> Domains);
+
+  /// Whether \p Service has targets in \p Domains that are not draining, and
+  /// all of them are in evacuated failure domains.
+  bool isEvacuated(std::string_view Service,
+                   const domain_filter &Domains = {}) const;
+
+  /// Whether \p Service has targets and \p Domains allows none of them.
+  bool isOutside(std::string_view Service, const domain_filter &Domains) const;
+
+  /// Number of targets in a failure domain.
+  size_t sizeOfDomain(std::string_view Domain) const;
+
   /// Returns the target for a request, or null when no target may be used.
   /// Chooses by expected cost: the risk that the target is gray or unreachable
   /// from this instance, queueing at the target, traffic between failure
@@ -149,11 +172,11 @@
   target_ref choose(const placement_query &Query, boot_time Now,
                     absl::BitGenRef Random) const;
 
-  /// When the first target of \p Service that could be used otherwise takes
-  /// requests of this instance again; none if there is no such target, or one
-  /// that takes requests now.
-  std::optional<boot_time> pausedUntil(std::string_view Service,
-                                       boot_time Now) const;
+  /// When the first target of \p Service in \p Domains that could be used
+  /// otherwise takes requests of this instance again; none if there is no such
+  /// target, or one that takes requests now.
+  std::optional<boot_time> pausedUntil(std::string_view Service, boot_time Now,
+                                       const domain_filter &Domains = {}) const;
 
   /// Records that \p Target wants no requests of this instance for \p Pause.
   /// A shorter pause does not end a longer one.
@@ -202,9 +225,9 @@
   /// All targets of \p Service.
   const std::vector<target_ref> &targetsOf(std::string_view Service) const;
 
-  /// The room of \p Service: slots of targets that are neither draining nor
-  /// paused, and those in use by known requests. Targets that are probably gray
-  /// do not count.
+  /// The room of \p Service: slots of targets that are neither draining,
+  /// evacuated nor paused, and those in use by known requests. Targets that are
+  /// probably gray do not count.
   service_room roomOf(std::string_view Service, boot_time Now) const;
 
   /// Whether the known requests in flight to \p Target exceed its capacity, so
@@ -253,6 +276,7 @@
   absl::flat_hash_map<std::string, target_ref> ById;
   absl::flat_hash_map<target_key, target_ref> ByKey;
   absl::flat_hash_map<std::string, std::vector<target_ref>> ByService;
+  absl::flat_hash_set<std::string> EvacuatedDomains;
   /// The targets at which each peer has requests in flight.
   absl::flat_hash_map<uint64_t, std::vector<target_ref>> UsedByPeer;
 };
--- a/Source/Core/Routing/Configuration.h
+++ b/Source/Core/Routing/Configuration.h
@@ -39,6 +39,8 @@
   uint32_t MaxAttempts = 1;
   /// Whether callers need no API key.
   bool Public = false;
+  /// The only regions in which its requests may run; empty: all.
+  std::vector<std::string> HomeRegions = {};
 };
 
 struct service {
@@ -56,6 +58,8 @@
   /// Requests per second over the whole fleet; zero: no limit.
   double RatePerSecond = 0;
   double Burst = 0;
+  /// As in route; both bind.
+  std::vector<std::string> HomeRegions = {};
 };
 
 /// Limits for requests and connections of callers.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -49,7 +49,7 @@
   message::request &Request = Call->Request;
   const header_names &HeaderNames = Gateway.Environment.HeaderNames;
   Id = std::string(Request.Headers.find(HeaderNames.RequestId).value_or(""));
-  if (!Routes) {
+  if (!Routes || !Gateway.Evacuation.isKnown()) {
     refuse(error_kind::ConfigurationMissing, "no configuration was read yet");
     return;
   }
@@ -64,8 +64,8 @@
     refuse(error_kind::NoTargetAvailable, "the route has no service");
     return;
   }
-  if (!readDeadline() || !checkShutdown() || !checkMemory() || !admit() ||
-      !checkQuarantine())
+  if (!readDeadline() || !checkShutdown() || !checkMemory() || !checkKey() ||
+      !checkEvacuation() || !admit() || !checkQuarantine())
     return;
   const auto Self = shared_from_this();
   Call->OnDisconnect = [Self] {
@@ -122,7 +122,7 @@
   return false;
 }
 
-bool exchange::admit() {
+bool exchange::checkKey() {
   if (Route->Public || !Routes->configurationInForce().RequiresKeys)
     return true;
   const header_names &HeaderNames = Gateway.Environment.HeaderNames;
@@ -136,6 +136,14 @@
     refuse(error_kind::KeyUnknown, "no workspace holds this key");
     return false;
   }
+  return true;
+}
+
+bool exchange::checkEvacuation() { return !giveUpIfEvacuated(); }
+
+bool exchange::admit() {
+  if (Workspace == nullptr)
+    return true;
   const fleet::admission_decision Decision = Gateway.Fleet->buckets().admit(
       fleet::usageKey(Workspace->Name),
       {Workspace->RatePerSecond, Workspace->Burst},
@@ -266,6 +274,8 @@
 }
 
 void exchange::waitForTarget() {
+  if (giveUpIfEvacuated())
+    return;
   const boot_time Now = Gateway.Loop.now();
   if (Now >= waitsUntil() || allTargetsArePaused()) {
     giveUp(error_kind::NoTargetAvailable, "no target takes requests");
@@ -320,7 +330,7 @@
   message::client_hooks Hooks;
   Hooks.OnConnected = [Self, Attempt] {
     if (!Attempt->Ended)
-      Self->send(Attempt);
+      Self->onConnected(Attempt);
   };
   Hooks.OnConnectFailed = [Self, Attempt] {
     if (!Attempt->Ended)
@@ -337,6 +347,17 @@
   return Hooks;
 }
 
+void exchange::onConnected(const attempt_ref &Attempt) {
+  if (!Attempt->Target->Evacuated) {
+    send(Attempt);
+    return;
+  }
+  // The evacuation began while it connected.
+  Reason = "evacuated";
+  endAttempt(Attempt, false);
+  tryNext();
+}
+
 void exchange::onConnectionLost(const attempt_ref &Attempt) {
   observe(*Attempt, evidence::Unreachable);
   Unreachable.push_back(Attempt->Target->Key);
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -46,6 +46,10 @@
   void start();
   /// Refuses a request when messages hold nearly all memory that they may.
   bool checkMemory();
+  /// Refuses a request that needs a key and has none that is known.
+  bool checkKey();
+  /// Refuses a request that no target may run: all are evacuated.
+  bool checkEvacuation();
   bool admit();
   void chooseService();
   bool readDeadline();
@@ -74,6 +78,7 @@
   void logOutcome(std::string_view Outcome, int Status,
                   std::string_view Detail);
   void connect(const attempt_ref &Attempt);
+  void onConnected(const attempt_ref &Attempt);
   void onConnectionLost(const attempt_ref &Attempt);
   void send(const attempt_ref &Attempt);
   std::string requestHead(const attempt &Attempt) const;
@@ -90,6 +95,8 @@
   void onFailure(const attempt_ref &Attempt, message::exchange_failure Failure);
   void onNotRun(const attempt_ref &Attempt);
   void pauseTarget(const attempt &Attempt, duration Pause);
+  /// Gives up because all targets are evacuated; false if one is not.
+  bool giveUpIfEvacuated();
   /// Responds when no target takes the request; \p Kind if none has run it.
   void giveUp(common::error_kind Kind, std::string_view Detail);
   /// Delay before a target that refused the request is tried again.
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -175,6 +175,14 @@
       refusalBackoff(), [Self = shared_from_this()] { Self->tryNext(); });
 }
 
+bool exchange::giveUpIfEvacuated() {
+  if (!Gateway.TargetSet.isEvacuated(Service))
+    return false;
+  Gateway.Evacuation.onRefused(Service);
+  giveUp(error_kind::ServiceEvacuated, "all targets are evacuated");
+  return true;
+}
+
 void exchange::giveUp(error_kind Kind, std::string_view Detail) {
   if (TargetError) {
     forwardResponse(std::move(*TargetError));
@@ -190,7 +198,7 @@
   const auto &Targets = Gateway.TargetSet.targetsOf(Service);
   return std::any_of(Targets.begin(), Targets.end(),
                      [&](const placement::target_ref &Target) {
-                       return !Target->isDraining() &&
+                       return Target->isAvailable() &&
                               Gateway.Loop.now() >= Target->PausedUntil &&
                               std::find(SentTo.begin(), SentTo.end(),
                                         Target->Key) == SentTo.end();
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -30,6 +30,9 @@
 gateway::gateway(event::event_loop &Loop, settings Given, environment Provided)
     : Loop(Loop), Settings(std::move(Given)), Environment(std::move(Provided)),
       TargetSet(Settings.Placement, Settings.Identity.FailureDomain),
+      Regions(Settings.Regions),
+      Evacuation(Loop, Settings.Evacuations, Regions, TargetSet,
+                 Environment.Decoders.Evacuation),
       TargetRegistry({.ExpiryGrace = Settings.Follow.ExpiryGrace,
                       .DeadEntryLifetime = Settings.Follow.DeadEntryLifetime},
                      {[this](const placement::target_entry &Entry) {
@@ -197,6 +200,7 @@
   Loop.callEvery(SweepPeriod, [this] {
     Pool.sweep();
     TargetRegistry.advance(storeAvailability(), Loop.now());
+    Evacuation.advance();
     Fleet->limits().advance(Loop.now());
     Fleet->quarantine().advance(Loop.now());
     logFailureMode();
@@ -235,8 +239,13 @@
     offerConfiguration(Row, Store->eraOf(fleet::table_id::Configuration),
                        fleet::offer_source::Store);
   };
-  Hooks.OnChange = Offer;
-  Hooks.OnSnapshot = [Offer](const std::vector<stored_row> &Rows) {
+  Hooks.OnChange = [this, Offer](const stored_row &Row) {
+    Evacuation.applyChange(Row);
+    Offer(Row);
+  };
+  Hooks.OnRestored = [this] { Evacuation.beginRestored(); };
+  Hooks.OnSnapshot = [this, Offer](const std::vector<stored_row> &Rows) {
+    Evacuation.applySnapshot(Rows);
     for (const stored_row &Row : Rows)
       Offer(Row);
   };
@@ -354,7 +363,9 @@
   exchange::begin(*this, Call);
 }
 
-bool gateway::ready() const { return !ShuttingDown && Routes && TargetsRead; }
+bool gateway::ready() const {
+  return !ShuttingDown && Routes && TargetsRead && Evacuation.isKnown();
+}
 
 std::vector<std::string>
 gateway::directory(std::string_view FailureDomain) const {
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "Common/Metrics.h"
 #include "Fleet/AcceptedConfiguration.h"
 #include "Fleet/LostRequests.h"
+#include "Gateway/EvacuationControl.h"
 #include "Gateway/FleetAgent.h"
 #include "Gateway/HeaderNames.h"
 #include "Gateway/LostConfiguration.h"
@@ -21,6 +22,7 @@
 #include "Gateway/TargetEndCheck.h"
 #include "Gateway/TargetPool.h"
 #include "Net/Message/HttpServer.h"
+#include "Placement/HomeRegions.h"
 #include "Placement/LossFilter.h"
 #include "Placement/RequestMix.h"
 #include "Placement/TargetRegistry.h"
@@ -41,6 +43,8 @@
   std::function<absl::StatusOr<placement::target_entry>(
       const std::string &Id, const std::string &Value)>
       Target;
+  /// Of the rows beside the configuration; may be absent.
+  evacuation_decoder Evacuation;
 };
 
 /// Interfaces that the deployment provides.
@@ -172,6 +176,8 @@
   common::metrics Metrics;
   absl::BitGen Random;
   placement::target_set TargetSet;
+  const placement::region_map Regions;
+  evacuation_control Evacuation;
   placement::target_registry TargetRegistry;
   placement::loss_filter Losses;
   placement::request_mix RequestMix;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -67,9 +67,12 @@
   double Healthy = 0;
   double Suspected = 0;
   double Draining = 0;
+  double Evacuated = 0;
   TargetSet.forEach([&](const placement::target &Target) {
     if (Target.isDraining())
       ++Draining;
+    else if (Target.Evacuated)
+      ++Evacuated;
     else if (Target.Fleet.probabilityAt(Loop.now()) > SuspectedFrom)
       ++Suspected;
     else
@@ -89,6 +92,8 @@
   Samples.push_back({Name, Help, {{"state", "sound"}}, Healthy});
   Samples.push_back({Name, Help, {{"state", "suspected"}}, Suspected});
   Samples.push_back({Name, Help, {{"state", "leaving"}}, Draining});
+  Samples.push_back({Name, Help, {{"state", "evacuated"}}, Evacuated});
+  Evacuation.addSamples(Samples);
 }
 
 void gateway::addFleetSamples(samples &Samples) const {
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -10,7 +10,7 @@
 /// An attempt and the state on which its target was chosen.
 struct attempt_record {
   std::string_view Id;
-  /// first, retry, after_refusal, unreachable or second_send.
+  /// first, retry, after_refusal, unreachable, evacuated or second_send.
   std::string_view Reason;
   std::string_view Service;
   const placement::target &Target;
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 
 #include "Fleet/CollectorChoice.h"
@@ -12,6 +13,7 @@
 #include "Fleet/RequestQuarantine.h"
 #include "Fleet/TargetLimits.h"
 #include "Fleet/UrgentLimit.h"
+#include "Placement/Evacuations.h"
 #include "Placement/LossFilter.h"
 #include "Placement/ProbePolicy.h"
 #include "Placement/TargetSet.h"
@@ -119,6 +121,8 @@
   std::string CallerListen;
   /// "IPv4:port" for connections and datagrams of other instances.
   std::string PeerListen;
+  /// The region of each failure domain.
+  std::map<std::string, std::string> Regions;
   /// How long callers may cache a directory response.
   duration DirectoryTtl = std::chrono::seconds(2);
   size_t MaxCallerConnections = 8000;
@@ -136,6 +140,7 @@
   fleet::fetch_settings Fetch;
   fleet::urgent_settings Urgent;
   placement::placement_settings Placement;
+  placement::evacuation_settings Evacuations;
   placement::loss_settings Losses;
 };
 
--- a/Source/Gateway/TargetPool.cpp
+++ b/Source/Gateway/TargetPool.cpp
@@ -43,7 +43,7 @@
 void target_pool::release(const placement::target_ref &Target,
                           std::shared_ptr<client_connection> Connection) {
   const bool Useful =
-      Connection->reusable() && !Target->Removed && !Target->isDraining();
+      Connection->reusable() && !Target->Removed && Target->isAvailable();
   if (!Useful) {
     Connection->close();
     Loop.retire(std::move(Connection));
@@ -82,7 +82,7 @@
   std::vector<std::pair<placement::target_ref, client_connection *>> Expired;
   for (const auto &[Target, Kept] : Idle)
     for (const auto &Connection : Kept)
-      if (Target->Removed || Target->isDraining() || expired(*Connection))
+      if (Target->Removed || !Target->isAvailable() || expired(*Connection))
         Expired.emplace_back(Target, Connection.get());
   for (const auto &[Target, Connection] : Expired)
     drop(Target, Connection);
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -58,6 +58,50 @@
     Query.Tried = Tried;
     CHECK(Draw(50) == std::map<std::string, int>{{"d", 50}});
   }
+  SUBCASE("none in an evacuated failure domain, also for a probe") {
+    Targets.put(entryOf("e", "Nitra"), Now);
+    for (const char *Id : {"a", "b", "c", "d", "e"})
+      Succeed(Id);
+    Targets.setEvacuated({"Trnava"});
+    Targets.put(entryOf("f", "Trnava"), Now);
+    // Only a probe goes to a target in another failure domain that is due.
+    Now += seconds(3);
+    Query.ProbingRate = 1;
+    CHECK(Draw(50) == std::map<std::string, int>{{"e", 50}});
+    CHECK(Targets.roomOf("orders", Now).Slots == 6);
+    CHECK_FALSE(Targets.isEvacuated("orders"));
+    CHECK_FALSE(Targets.isEvacuated("fitting"));
+
+    SUBCASE("if all are, it knows that") {
+      Targets.setEvacuated({"Trnava", "Nitra"});
+      CHECK(Draw(1).empty());
+      CHECK(Targets.isEvacuated("orders"));
+    }
+    SUBCASE("until the evacuation ends") {
+      Targets.setEvacuated({});
+      CHECK(Draw(200).size() > 4);
+    }
+  }
+  SUBCASE("only in the failure domains that the request may reach") {
+    Targets.put(entryOf("e", "Nitra"), Now);
+    Now += seconds(3);
+    Query.ProbingRate = 1;
+    const domain_filter Nitra({"Nitra"});
+    const domain_filter Senica({"Senica"});
+    Query.Domains = &Nitra;
+    CHECK(Draw(50) == std::map<std::string, int>{{"e", 50}});
+    CHECK_FALSE(Targets.isOutside("orders", Nitra));
+    Query.Domains = &Senica;
+    CHECK(Draw(50).empty());
+    CHECK(Targets.isOutside("orders", Senica));
+    Targets.setEvacuated({"Nitra"});
+    CHECK(Targets.isEvacuated("orders", Nitra));
+    CHECK_FALSE(Targets.isEvacuated("orders", Senica));
+    target_set::pause(*Targets.find("e"), seconds(1), Now);
+    CHECK_FALSE(Targets.pausedUntil("orders", Now, Nitra).has_value());
+    Targets.setEvacuated({});
+    CHECK(Targets.pausedUntil("orders", Now, Nitra) == Now + seconds(1));
+  }
   SUBCASE("and knows how much room the service has") {
     for (const char *Id : {"a", "b", "c", "d"})
       Succeed(Id);
