Keep requests in the home regions of their route and workspace

Cause: allowedRegions of routes and tenants was not read, so that requests could reach targets in any region.

The settings list the region of each failure domain. region_map decides which failure domains a request may reach, and to which instances the directory sends callers of a host. No target there: no_target_in_region, refused at once.

--- a/Source/Core/Placement/HomeRegions.cpp
+++ b/Source/Core/Placement/HomeRegions.cpp
@@ -30,4 +30,24 @@
   return domain_filter(std::move(Allowed));
 }
 
+domain_filter
+region_map::domainsForCaller(absl::Span<const std::vector<std::string>> Homes,
+                             std::string Region,
+                             const std::string &FailureDomain) const {
+  if (Homes.empty())
+    return {};
+  if (const auto Own = RegionOf.find(FailureDomain);
+      Region.empty() && Own != RegionOf.end())
+    Region = Own->second;
+  std::vector<std::string> Allowed;
+  for (const auto &[Domain, RegionOfDomain] : RegionOf) {
+    const bool InAllHomes =
+        std::all_of(Homes.begin(), Homes.end(),
+                    [&](const auto &Regions) { return isIn(Domain, Regions); });
+    if (InAllHomes || RegionOfDomain == Region)
+      Allowed.push_back(Domain);
+  }
+  return domain_filter(std::move(Allowed));
+}
+
 } // namespace magnolia::placement
--- a/Source/Core/Placement/HomeRegions.h
+++ b/Source/Core/Placement/HomeRegions.h
@@ -48,6 +48,14 @@
   domain_filter domainsIn(absl::Span<const std::string> RouteHomes,
                           absl::Span<const std::string> WorkspaceHomes) const;
 
+  /// The failure domains to whose instances a caller is sent: those in its own
+  /// region, and those that all of \p Homes allow, the home regions of the
+  /// routes that it may use. Without any there is no restriction. \p Region may
+  /// be empty: that of \p FailureDomain then.
+  domain_filter
+  domainsForCaller(absl::Span<const std::vector<std::string>> Homes,
+                   std::string Region, const std::string &FailureDomain) const;
+
   bool contains(const std::string &FailureDomain) const {
     return RegionOf.contains(FailureDomain);
   }
--- a/Source/Core/Routing/RouteTable.cpp
+++ b/Source/Core/Routing/RouteTable.cpp
@@ -48,6 +48,18 @@
   return nullptr;
 }
 
+std::vector<std::vector<std::string>>
+route_table::homesOf(std::string_view Host) const {
+  std::vector<std::vector<std::string>> Homes;
+  const auto Prefixes = ByHost.find(normalizedHost(Host));
+  if (Prefixes == ByHost.end())
+    return Homes;
+  for (const auto &[Prefix, Route] : Prefixes->second)
+    if (!Route->HomeRegions.empty())
+      Homes.push_back(Route->HomeRegions);
+  return Homes;
+}
+
 const workspace *route_table::workspaceOf(std::string_view Key) const {
   const auto Found = ByKey.find(toAbsl(Key));
   return Found == ByKey.end() ? nullptr : Found->second;
--- a/Source/Core/Routing/RouteTable.h
+++ b/Source/Core/Routing/RouteTable.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -20,6 +22,9 @@
   /// the longest prefix of \p Path; null if there is none.
   const route *find(std::string_view Host, std::string_view Path) const;
 
+  /// The home regions of the routes of \p Host that have any.
+  std::vector<std::vector<std::string>> homesOf(std::string_view Host) const;
+
   /// The workspace that holds \p Key; null if none does.
   const workspace *workspaceOf(std::string_view Key) const;
 
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -65,7 +65,7 @@
     return;
   }
   if (!readDeadline() || !checkShutdown() || !checkMemory() || !checkKey() ||
-      !checkEvacuation() || !admit() || !checkQuarantine())
+      !checkPlaces() || !admit() || !checkQuarantine())
     return;
   const auto Self = shared_from_this();
   Call->OnDisconnect = [Self] {
@@ -139,7 +139,17 @@
   return true;
 }
 
-bool exchange::checkEvacuation() { return !giveUpIfEvacuated(); }
+bool exchange::checkPlaces() {
+  static const std::vector<std::string> Anywhere;
+  Domains = Gateway.Regions.domainsIn(
+      Route->HomeRegions,
+      Workspace != nullptr ? Workspace->HomeRegions : Anywhere);
+  if (!Gateway.TargetSet.isOutside(Service, Domains))
+    return !giveUpIfEvacuated();
+  refuse(error_kind::NoTargetInRegion,
+         "no target is in a home region of the route and the workspace");
+  return false;
+}
 
 bool exchange::admit() {
   if (Workspace == nullptr)
@@ -200,6 +210,7 @@
   placement::placement_query Query;
   Query.Service = Service;
   Query.Repeatable = repeatable();
+  Query.Domains = &Domains;
   const fleet::service_stats Stats = Gateway.Fleet->budgets().statsOf(
       fleet::usageKey(Service), Gateway.Loop.now());
   Query.FailedFraction = Stats.FailedFraction;
@@ -269,7 +280,7 @@
 
 bool exchange::allTargetsArePaused() const {
   const boot_time Now = Gateway.Loop.now();
-  return Gateway.TargetSet.pausedUntil(Service, Now).value_or(Now) >
+  return Gateway.TargetSet.pausedUntil(Service, Now, Domains).value_or(Now) >
          waitsUntil();
 }
 
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -48,8 +48,9 @@
   bool checkMemory();
   /// Refuses a request that needs a key and has none that is known.
   bool checkKey();
-  /// Refuses a request that no target may run: all are evacuated.
-  bool checkEvacuation();
+  /// Refuses a request that no target may run: all are evacuated or outside of
+  /// the home regions of the route and the workspace.
+  bool checkPlaces();
   bool admit();
   void chooseService();
   bool readDeadline();
@@ -134,6 +135,8 @@
   const routing::route *Route = nullptr;
   const routing::workspace *Workspace = nullptr;
   std::string Service;
+  /// The failure domains in which the request may run.
+  placement::domain_filter Domains;
   std::string Id;
   boot_time CallerDeadline;
   boot_time RespondBy;
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -176,7 +176,7 @@
 }
 
 bool exchange::giveUpIfEvacuated() {
-  if (!Gateway.TargetSet.isEvacuated(Service))
+  if (!Gateway.TargetSet.isEvacuated(Service, Domains))
     return false;
   Gateway.Evacuation.onRefused(Service);
   giveUp(error_kind::ServiceEvacuated, "all targets are evacuated");
@@ -189,7 +189,7 @@
     return;
   }
   const boot_time Now = Gateway.Loop.now();
-  const auto Until = Gateway.TargetSet.pausedUntil(Service, Now);
+  const auto Until = Gateway.TargetSet.pausedUntil(Service, Now, Domains);
   refuse(MayHaveRun ? error_kind::TargetBroken : Kind, Detail,
          Until ? std::optional<duration>(*Until - Now) : std::nullopt);
 }
@@ -199,6 +199,7 @@
   return std::any_of(Targets.begin(), Targets.end(),
                      [&](const placement::target_ref &Target) {
                        return Target->isAvailable() &&
+                              Domains.allows(Target->Entry.FailureDomain) &&
                               Gateway.Loop.now() >= Target->PausedUntil &&
                               std::find(SentTo.begin(), SentTo.end(),
                                         Target->Key) == SentTo.end();
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -367,13 +367,25 @@
   return !ShuttingDown && Routes && TargetsRead && Evacuation.isKnown();
 }
 
+placement::domain_filter
+gateway::domainsFor(const directory_query &Query) const {
+  if (!Routes)
+    return {};
+  return Regions.domainsForCaller(Routes->homesOf(Query.Host), Query.Region,
+                                  Query.FailureDomain);
+}
+
 std::vector<std::string>
-gateway::directory(std::string_view FailureDomain) const {
+gateway::directory(const directory_query &Query) const {
   std::vector<std::string> InCallerDomain;
+  std::vector<std::string> Allowed;
   std::vector<std::string> All;
+  const placement::domain_filter Domains = domainsFor(Query);
   const auto Add = [&](const fleet::instance_identity &Identity) {
     All.push_back(Identity.CallerAddress);
-    if (Identity.FailureDomain == FailureDomain)
+    if (Domains.allows(Identity.FailureDomain))
+      Allowed.push_back(Identity.CallerAddress);
+    if (Identity.FailureDomain == Query.FailureDomain)
       InCallerDomain.push_back(Identity.CallerAddress);
   };
   const boot_time Now = Loop.now();
@@ -386,8 +398,9 @@
     Add(Settings.Identity);
   if (All.empty() && !ShuttingDown)
     Add(Settings.Identity);
+  std::vector<std::string> &Others = Allowed.empty() ? All : Allowed;
   std::vector<std::string> &Chosen =
-      InCallerDomain.size() >= MinNearbyInstances ? InCallerDomain : All;
+      InCallerDomain.size() >= MinNearbyInstances ? InCallerDomain : Others;
   if (Chosen.size() > MaxDirectoryEntries)
     Chosen.resize(MaxDirectoryEntries);
   return Chosen;
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -58,6 +58,14 @@
   decoders Decoders;
 };
 
+/// Who asks the directory for instances; each part may be empty.
+struct directory_query {
+  /// Host of the caller's requests.
+  std::string Host;
+  std::string Region;
+  std::string FailureDomain;
+};
+
 /// Counters since the start, for metrics.
 struct gateway_counters {
   uint64_t CallersDisconnected = 0;
@@ -91,8 +99,13 @@
   /// Whether callers should be routed to this instance.
   bool ready() const;
 
-  /// Caller addresses of instances for a caller in \p FailureDomain.
-  std::vector<std::string> directory(std::string_view FailureDomain) const;
+  /// Caller addresses of instances for a caller: those of its failure domain if
+  /// there are enough, otherwise all, or those in its region and in the home
+  /// regions of the host's routes.
+  std::vector<std::string> directory(const directory_query &Query) const;
+  std::vector<std::string> directory(std::string_view FailureDomain) const {
+    return directory({"", "", std::string(FailureDomain)});
+  }
 
   /// Applies the settings that may change at run time: those of the graceful
   /// shutdown and the TTL of directory responses.
@@ -109,6 +122,8 @@
 private:
   friend class exchange;
 
+  /// The failure domains to whose instances the directory sends a caller.
+  placement::domain_filter domainsFor(const directory_query &Query) const;
   gateway(event::event_loop &Loop, settings Settings, environment Environment);
   absl::Status openPorts();
   absl::Status openFleet();
--- a/Source/UnitTests/Routing/RouteTableTest.cpp
+++ b/Source/UnitTests/Routing/RouteTableTest.cpp
@@ -22,6 +22,22 @@
 
 } // namespace
 
+TEST_CASE("The home regions of a host are those of its routes") {
+  configuration Configuration;
+  route West;
+  West.Host = "a.example";
+  West.Prefix = "/west/";
+  West.HomeRegions = {"west"};
+  route Anywhere = West;
+  Anywhere.Prefix = "/";
+  Anywhere.HomeRegions = {};
+  Configuration.Routes = {West, Anywhere};
+  const auto Table = route_table::build(std::move(Configuration));
+  CHECK(Table->homesOf("A.example:80") ==
+        std::vector<std::vector<std::string>>{{"west"}});
+  CHECK(Table->homesOf("b.example").empty());
+}
+
 TEST_CASE("A route table finds the route of a request") {
   configuration Configuration;
   Configuration.Version = 4;
