--- a/Source/Core/Placement/Evacuations.cpp
+++ b/Source/Core/Placement/Evacuations.cpp
@@ -43,6 +43,7 @@
     if (EndsAt && Now >= *EndsAt)
       Ended.push_back(Domain);
   std::vector<evacuation_change> Changes;
+  Changes.reserve(Ended.size());
   for (const std::string &Domain : Ended)
     Changes.push_back(*set(Domain, false));
   return Changes;
--- a/Source/Core/Placement/HomeRegions.cpp
+++ b/Source/Core/Placement/HomeRegions.cpp
@@ -40,12 +40,13 @@
       Region.empty() && Own != RegionOf.end())
     Region = Own->second;
   std::vector<std::string> Allowed;
-  for (const auto &[Domain, RegionOfDomain] : RegionOf) {
+  for (const auto &Entry : RegionOf) {
     const bool InAllHomes =
-        std::all_of(Homes.begin(), Homes.end(),
-                    [&](const auto &Regions) { return isIn(Domain, Regions); });
-    if (InAllHomes || RegionOfDomain == Region)
-      Allowed.push_back(Domain);
+        std::all_of(Homes.begin(), Homes.end(), [&](const auto &Regions) {
+          return isIn(Entry.first, Regions);
+        });
+    if (InAllHomes || Entry.second == Region)
+      Allowed.push_back(Entry.first);
   }
   return domain_filter(std::move(Allowed));
 }
