--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -12,6 +12,7 @@
 #include "Common/Metrics.h"
 #include "Fleet/AcceptedConfiguration.h"
 #include "Fleet/LostRequests.h"
+#include "Gateway/EvacuationControl.h"
 #include "Gateway/FleetAgent.h"
 #include "Gateway/HeaderNames.h"
 #include "Gateway/LostConfiguration.h"
@@ -21,6 +22,7 @@
 #include "Gateway/TargetEndCheck.h"
 #include "Gateway/TargetPool.h"
 #include "Net/Message/HttpServer.h"
+#include "Placement/HomeRegions.h"
 #include "Placement/LossFilter.h"
 #include "Placement/RequestMix.h"
 #include "Placement/TargetRegistry.h"
@@ -41,6 +43,8 @@
   std::function<absl::StatusOr<placement::target_entry>(
       const std::string &Id, const std::string &Value)>
       Target;
+  /// Of the rows beside the configuration; may be absent.
+  evacuation_decoder Evacuation;
 };
 
 /// Interfaces that the deployment provides.
@@ -54,6 +58,14 @@
   decoders Decoders;
 };
 
+/// Who asks the directory for instances; each part may be empty.
+struct directory_query {
+  /// Host of the caller's requests.
+  std::string Host;
+  std::string Region;
+  std::string FailureDomain;
+};
+
 /// Counters since the start, for metrics.
 struct gateway_counters {
   uint64_t CallersDisconnected = 0;
@@ -87,8 +99,13 @@
   /// Whether callers should be routed to this instance.
   bool ready() const;
 
-  /// Caller addresses of instances for a caller in \p FailureDomain.
-  std::vector<std::string> directory(std::string_view FailureDomain) const;
+  /// Caller addresses of instances for a caller: those of its failure domain if
+  /// there are enough, otherwise all, or those in its region and in the home
+  /// regions of the host's routes.
+  std::vector<std::string> directory(const directory_query &Query) const;
+  std::vector<std::string> directory(std::string_view FailureDomain) const {
+    return directory({"", "", std::string(FailureDomain)});
+  }
 
   /// Applies the settings that may change at run time: those of the graceful
   /// shutdown and the TTL of directory responses.
@@ -105,6 +122,8 @@
 private:
   friend class exchange;
 
+  /// The failure domains to whose instances the directory sends a caller.
+  placement::domain_filter domainsFor(const directory_query &Query) const;
   gateway(event::event_loop &Loop, settings Settings, environment Environment);
   absl::Status openPorts();
   absl::Status openFleet();
@@ -172,6 +191,8 @@
   common::metrics Metrics;
   absl::BitGen Random;
   placement::target_set TargetSet;
+  const placement::region_map Regions;
+  evacuation_control Evacuation;
   placement::target_registry TargetRegistry;
   placement::loss_filter Losses;
   placement::request_mix RequestMix;
