--- a/Source/Core/Routing/Configuration.h
+++ b/Source/Core/Routing/Configuration.h
@@ -46,6 +46,11 @@
   /// Maximum number of connections that one target accepts, over all its
   /// clients.
   uint32_t MaxConnections = 0;
+  /// How long its targets are usually cold after their start.
+  duration Warmup{0};
+  /// Requests per second that a cold target takes from the whole fleet; zero:
+  /// no limit.
+  double WarmupPerSecond = 0;
 };
 
 struct workspace {
--- a/Source/Core/Routing/RouteTable.cpp
+++ b/Source/Core/Routing/RouteTable.cpp
@@ -25,6 +25,8 @@
     : Configuration(std::move(Given)) {
   for (const route &Route : Configuration.Routes)
     ByHost[normalizedHost(Route.Host)][Route.Prefix] = &Route;
+  for (const service &Service : Configuration.Services)
+    ByService[Service.Name] = &Service;
   for (const workspace &Workspace : Configuration.Workspaces)
     for (const std::string &Key : Workspace.Keys)
       if (!Key.empty())
@@ -53,4 +55,9 @@
   return Found == ByKey.end() ? nullptr : Found->second;
 }
 
+const service *route_table::serviceOf(std::string_view Name) const {
+  const auto Found = ByService.find(toAbsl(Name));
+  return Found == ByService.end() ? nullptr : Found->second;
+}
+
 } // namespace magnolia::routing
--- a/Source/Core/Routing/RouteTable.h
+++ b/Source/Core/Routing/RouteTable.h
@@ -23,6 +23,9 @@
   /// The workspace that holds \p Key; null if none does.
   const workspace *workspaceOf(std::string_view Key) const;
 
+  /// The service \p Name; null if the configuration has none.
+  const service *serviceOf(std::string_view Name) const;
+
   const configuration &configurationInForce() const { return Configuration; }
   uint64_t version() const { return Configuration.Version; }
 
@@ -34,6 +37,7 @@
   const configuration Configuration;
   absl::flat_hash_map<std::string, prefix_map> ByHost;
   absl::flat_hash_map<std::string, const workspace *> ByKey;
+  absl::flat_hash_map<std::string, const service *> ByService;
 };
 
 } // namespace magnolia::routing
--- a/Source/UnitTests/Routing/RouteTableTest.cpp
+++ b/Source/UnitTests/Routing/RouteTableTest.cpp
@@ -63,3 +63,12 @@
   CHECK(Table->workspaceOf("nobody's") == nullptr);
   CHECK(Table->workspaceOf("") == nullptr);
 }
+
+TEST_CASE("A route table finds a service") {
+  configuration Configuration;
+  Configuration.Services = {{.Name = "orders", .WarmupPerSecond = 3}};
+  const auto Table = route_table::build(Configuration);
+  REQUIRE(Table->serviceOf("orders") != nullptr);
+  CHECK(Table->serviceOf("orders")->WarmupPerSecond == 3);
+  CHECK(Table->serviceOf("reads") == nullptr);
+}
