Send cold targets no more than they bear

Cause: a target that became cold after its start counted as warm, since the time was counted from when it was added; nothing limited its requests. Change: the target set keeps when a target is warm, by its entry and by its responses; the choice leaves out cold targets that take no request of this instance, and the senders of a cold target probe it more often. A service whose targets are all cold refuses at once. Log line for each transition, gauge and counter.

--- a/Source/Core/Placement/TargetEntry.h
+++ b/Source/Core/Placement/TargetEntry.h
@@ -22,7 +22,7 @@
   /// Maximum number of requests that it runs concurrently.
   uint32_t Capacity = 1;
   bool Draining = false;
-  /// Remaining time for which it is slow after its start.
+  /// Remaining time for which it is cold: slow, and taking few requests.
   duration WarmupLeft{0};
   /// Start time in Unix milliseconds; distinguishes the incarnations of one id.
   int64_t StartedUnixMs = 0;
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -16,8 +16,8 @@
 
 /// A peer's count of requests in flight expires after this time.
 constexpr std::chrono::seconds PeerCountLifetime{2};
-/// Maximum extra cost of a target that has just started: it is slow but must
-/// still get some requests.
+/// Maximum extra cost of a target that is cold: it is slow but must still get
+/// some requests.
 constexpr double MaxWarmupCost = 0.04;
 /// Average rate of probes to a target that is due for one: about one in twelve
 /// gets none within a second.
@@ -45,6 +45,10 @@
       Existing->Entry.Address == Entry.Address &&
       Existing->Entry.Service == Entry.Service;
   if (SameIncarnation) {
+    // The same report may be read more than once.
+    if (Entry.Sequence != Existing->Entry.Sequence ||
+        Entry.WarmupLeft != Existing->Entry.WarmupLeft)
+      Existing->WarmFrom = Now + Entry.WarmupLeft;
     Existing->Entry = Entry;
     return;
   }
@@ -52,7 +56,7 @@
     remove(Entry.Id);
   const auto Added = std::make_shared<target>(Entry, Settings, *Pattern);
   Added->Key = keyOf(Entry);
-  Added->AddedAt = Now;
+  Added->WarmFrom = Now + Entry.WarmupLeft;
   ById[Entry.Id] = Added;
   ByKey[Added->Key] = Added;
   ByService[Entry.Service].push_back(Added);
@@ -136,9 +140,7 @@
     Cost += Settings.OtherDomainCost;
   if (Target.IdleConnections == 0)
     Cost += Settings.NewConnectionCost;
-  const duration Warmup = Target.Entry.WarmupLeft - (Now - Target.AddedAt);
-  if (Warmup > duration::zero())
-    Cost += MaxWarmupCost * std::min(1.0, secondsOf(Warmup));
+  Cost += MaxWarmupCost * std::min(1.0, secondsOf(Target.warmupLeft(Now)));
   return Cost;
 }
 
@@ -213,14 +215,18 @@
   absl::flat_hash_set<std::string_view> Domains;
   for (const auto &[Id, Target] : ById)
     Domains.insert(Target->Entry.FailureDomain);
-  // Targets of this domain are probed by the instances of this domain alone, so
-  // each of these probes them more often.
+  // Targets of this domain are probed by the instances of this domain alone,
+  // and cold ones by their senders, so each of these probes them more often.
   const auto OwnDomainWeight =
       static_cast<double>(std::max<size_t>(Domains.size(), 1));
   double Wanted = 0;
-  for (const target_ref &Target : Due)
-    Wanted +=
-        Target->Entry.FailureDomain == FailureDomain ? OwnDomainWeight : 1;
+  for (const target_ref &Target : Due) {
+    if (Target->SenderFraction < 1)
+      Wanted += 1 / Target->SenderFraction;
+    else
+      Wanted +=
+          Target->Entry.FailureDomain == FailureDomain ? OwnDomainWeight : 1;
+  }
   return Wanted * ProbesPerSecond;
 }
 
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -88,7 +89,11 @@
   gray_estimator Fleet;
   /// Estimate from the connections of this instance alone.
   gray_estimator Path;
-  boot_time AddedAt;
+  /// When it is warm, by its entry and by its responses.
+  boot_time WarmFrom;
+  boot_time SaidWarmFrom;
+  /// The fraction of the instances that send to it while it is cold.
+  double SenderFraction = 1;
   /// Time of the last known request from any instance.
   boot_time LastUsed;
   uint32_t OwnInFlight = 0;
@@ -109,6 +114,11 @@
   /// Whether it gets no more requests, by its entry or by its responses. Its
   /// next incarnation is another target.
   bool isDraining() const { return Entry.Draining || SaidDraining; }
+
+  /// How long it stays cold; zero if it is warm.
+  duration warmupLeft(boot_time Now) const {
+    return std::max(std::max(WarmFrom, SaidWarmFrom) - Now, duration::zero());
+  }
 };
 
 using target_ref = std::shared_ptr<target>;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -184,6 +184,7 @@
   std::vector<placement::target_key> Targets =
       Gateway.Fleet->limits().exhausted(Gateway.Fleet->reachablePart(),
                                         Gateway.Loop.now());
+  Gateway.addHeldBack(Service, Targets);
   Targets.insert(Targets.end(), Unreachable.begin(), Unreachable.end());
   return Targets;
 }
@@ -260,9 +261,7 @@
 }
 
 bool exchange::allTargetsArePaused() const {
-  const boot_time Now = Gateway.Loop.now();
-  return Gateway.TargetSet.pausedUntil(Service, Now).value_or(Now) >
-         waitsUntil();
+  return Gateway.takesRequestsFrom(Service) > waitsUntil();
 }
 
 void exchange::waitForTarget() {
@@ -282,6 +281,7 @@
   Attempt->StartedAt = Gateway.Loop.now();
   Gateway.Fleet->limits().tryUse(Target->Key, Gateway.Fleet->reachablePart(),
                                  Gateway.Loop.now());
+  Gateway.ColdTargets.countUse(Target->Key, Gateway.Loop.now());
   Attempts.push_back(Attempt);
   // On a kept connection its earlier refusal by this target may arrive once
   // more, and could not be told from the response to this attempt.
@@ -378,6 +378,7 @@
   Attempt->Sent = true;
   Attempt->SentAt = Now;
   Attempt->Target->LastUsed = Now;
+  Gateway.ColdTargets.countUse(Attempt->Target->Key, Now);
   ++Attempt->Target->OwnInFlight;
   Attempt->Queued = Gateway.TargetSet.isOverCapacity(*Attempt->Target, Now);
   if (!contains(SentTo, Attempt->Target->Key))
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -61,13 +61,15 @@
   void tryNext();
   bool mayUseAnotherTarget() const;
   placement::target_ref chooseTarget();
-  /// Targets that could not be reached, or whose limit is used up.
+  /// Targets that could not be reached, or that take no request now: their
+  /// limit is used up, or they are cold.
   std::vector<placement::target_key> unusableTargets() const;
   bool hasUntriedTarget() const;
   void waitForTarget();
   /// How long it waits until a target is available.
   boot_time waitsUntil() const;
-  /// Whether all targets of the service are paused for longer than that.
+  /// Whether all targets of the service are paused or cold for longer than
+  /// that.
   bool allTargetsArePaused() const;
   void startAttempt(const placement::target_ref &Target);
   void logAttempt(const attempt &Attempt, bool KeptConnection) const;
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -90,6 +90,7 @@
   if (Feedback.Draining)
     Gateway.onTargetDraining(Id, *Attempt->Target);
   Gateway.onTargetLimit(*Attempt->Target, Feedback.LimitPerSecond);
+  Gateway.onTargetWarmup(*Attempt->Target, Feedback.WarmupLeft);
   if (Feedback.Pause)
     pauseTarget(*Attempt, *Feedback.Pause);
   if (SaysNotRun) {
@@ -187,13 +188,15 @@
 }
 
 bool exchange::hasUntriedTarget() const {
+  std::vector<placement::target_key> Excluded = SentTo;
+  Gateway.addHeldBack(Service, Excluded);
   const auto &Targets = Gateway.TargetSet.targetsOf(Service);
   return std::any_of(Targets.begin(), Targets.end(),
                      [&](const placement::target_ref &Target) {
                        return !Target->isDraining() &&
                               Gateway.Loop.now() >= Target->PausedUntil &&
-                              std::find(SentTo.begin(), SentTo.end(),
-                                        Target->Key) == SentTo.end();
+                              std::find(Excluded.begin(), Excluded.end(),
+                                        Target->Key) == Excluded.end();
                      });
 }
 
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -86,6 +86,29 @@
   return Agent;
 }
 
+std::vector<fleet::fleet_member> fleet_agent::members() const {
+  using fleet::instance_state;
+  using fleet::member_state;
+  if (!InstancesRead)
+    return {};
+  const bool Ready = Hooks.State() == instance_state::Ready;
+  std::vector<fleet::fleet_member> Members = {
+      {Settings.Identity.Name, Settings.Identity.FailureDomain,
+       Ready ? member_state::Active : member_state::Inactive}};
+  const boot_time Now = Loop.now();
+  for (const auto &[Name, Peer] : Peers->peers()) {
+    member_state State = member_state::Silent;
+    // One that was draining before it fell silent has probably ended.
+    if (Peer.State == instance_state::Draining)
+      State = member_state::Inactive;
+    else if (Peers->isReachable(Peer, Now))
+      State = Peer.State == instance_state::Ready ? member_state::Active
+                                                  : member_state::Inactive;
+    Members.push_back({Name, Peer.Identity.FailureDomain, State});
+  }
+  return Members;
+}
+
 void fleet_agent::start() {
   registerInstance();
   Loop.callEvery(Settings.Updates.Period, [this] { sendPeriodicUpdates(); });
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -7,6 +7,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "Fleet/ColdTargets.h"
 #include "Fleet/CollectorChoice.h"
 #include "Fleet/FleetBuckets.h"
 #include "Fleet/FleetBudgets.h"
@@ -106,6 +107,8 @@
   fleet::fleet_part reachablePart() const {
     return {reachableFraction(), Peers->reachableCount(Loop.now()) + 1};
   }
+  /// The registered instances, this one included; none before they were read.
+  std::vector<fleet::fleet_member> members() const;
   /// The fraction of the registered fleet that this instance is.
   double ownFraction() const {
     return 1 / static_cast<double>(Peers->size() + 1);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -35,12 +35,14 @@
                      {[this](const placement::target_entry &Entry) {
                         logTarget(Entry);
                         TargetSet.put(Entry, this->Loop.now());
+                        updateCold(*TargetSet.find(Entry.Id));
                       },
                       [this](const std::string &Id) {
                         common::log(log_level::Info, Component,
                                     "target removed", {{"id", Id}});
                         TargetSet.remove(Id);
                       }}),
+      ColdTargets(Settings.Cold, Settings.Identity.Name),
       Losses(Settings.Losses), Pool(Loop, Settings.Forward),
       EndCheck(Loop, Settings.Forward.ConnectTimeout, Pool,
                [this](const placement::target &Target) {
@@ -197,6 +199,7 @@
   Loop.callEvery(SweepPeriod, [this] {
     Pool.sweep();
     TargetRegistry.advance(storeAvailability(), Loop.now());
+    updateColdTargets();
     Fleet->limits().advance(Loop.now());
     Fleet->quarantine().advance(Loop.now());
     logFailureMode();
@@ -335,6 +338,7 @@
   Routes = routing::route_table::build(std::move(*Read));
   RoutesSince = Loop.now();
   Splits.keepOnly(Routes->configurationInForce());
+  updateColdTargets();
 }
 
 void gateway::onInvalidConfiguration(const stored_row &Row,
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -66,6 +66,8 @@
   uint64_t Quarantined = 0;
   /// Requests that were refused since messages held nearly all memory.
   uint64_t RefusedForMemory = 0;
+  /// Choices of a target that left out cold ones.
+  uint64_t ColdHeldBack = 0;
 };
 
 /// One instance of the proxy. Its timers and connections refer to it: the loop
@@ -138,6 +140,22 @@
   /// none.
   void onTargetLimit(const placement::target &Target,
                      std::optional<double> PerSecond);
+  /// Records for how long \p Target said in a response that it stays cold.
+  void onTargetWarmup(placement::target &Target, std::optional<duration> Left);
+  /// Requests per second that \p Target takes from the whole fleet since it is
+  /// cold; zero if it has no such limit.
+  double coldLimitOf(const placement::target &Target) const;
+  /// Takes over whether \p Target is cold, and logs a change.
+  void updateCold(placement::target &Target);
+  /// The same for all targets, with the instances that are known now.
+  void updateColdTargets();
+  /// Adds the cold targets of \p Service that take no request of this instance
+  /// now.
+  void addHeldBack(std::string_view Service,
+                   std::vector<placement::target_key> &Keys);
+  /// When the first target of \p Service takes requests of this instance; now
+  /// if it has none.
+  boot_time takesRequestsFrom(std::string_view Service) const;
   /// Records a connection that was lost before a complete response. For a few
   /// milliseconds it counts only against the path to the target; then it counts
   /// against the target as well, unless many others were lost with it.
@@ -173,6 +191,7 @@
   absl::BitGen Random;
   placement::target_set TargetSet;
   placement::target_registry TargetRegistry;
+  fleet::cold_targets ColdTargets;
   placement::loss_filter Losses;
   placement::request_mix RequestMix;
   target_pool Pool;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -84,6 +84,12 @@
   add(Samples, "magnolia_targets_limited",
       "Targets that name a limit of their requests.",
       static_cast<double>(Fleet->limits().limitedCount()));
+  add(Samples, "magnolia_targets_cold",
+      "Targets that take few requests since they are cold.",
+      static_cast<double>(ColdTargets.size()));
+  add(Samples, "magnolia_cold_sends_held_back_total",
+      "Choices of a target that left out cold ones.",
+      static_cast<double>(Counters.ColdHeldBack));
   constexpr std::string_view Name = "magnolia_targets";
   constexpr std::string_view Help = "Targets by state.";
   Samples.push_back({Name, Help, {{"state", "sound"}}, Healthy});
--- a/Source/Gateway/GatewayTargets.cpp
+++ b/Source/Gateway/GatewayTargets.cpp
@@ -1,5 +1,8 @@
+#include <algorithm>
 #include <utility>
 
+#include <absl/container/flat_hash_set.h>
+
 #include "Common/Log.h"
 #include "Gateway/Gateway.h"
 #include "Gateway/RequestLog.h"
@@ -53,6 +56,74 @@
   Fleet->announce();
 }
 
+void gateway::onTargetWarmup(placement::target &Target,
+                             std::optional<duration> Left) {
+  if (!Left)
+    return;
+  Target.SaidWarmFrom = Loop.now() + *Left;
+  updateCold(Target);
+}
+
+double gateway::coldLimitOf(const placement::target &Target) const {
+  if (!Routes || Target.warmupLeft(Loop.now()) == duration::zero())
+    return 0;
+  const routing::service *Service = Routes->serviceOf(Target.Entry.Service);
+  return Service == nullptr ? 0 : Service->WarmupPerSecond;
+}
+
+void gateway::updateCold(placement::target &Target) {
+  const boot_time Now = Loop.now();
+  const double PerSecond = coldLimitOf(Target);
+  bool Changed = false;
+  if (PerSecond > 0)
+    Changed = ColdTargets.put(
+        {Target.Key, Target.Entry.FailureDomain, PerSecond}, Now);
+  else
+    Changed = ColdTargets.remove(Target.Key);
+  Target.SenderFraction = ColdTargets.senderFraction(Target.Key);
+  if (Changed)
+    logTargetCold(Target, PerSecond, Now);
+}
+
+void gateway::updateColdTargets() {
+  ColdTargets.setMembers(Fleet->members(), Loop.now());
+  absl::flat_hash_set<placement::target_key> Known;
+  TargetSet.forEach([&](placement::target &Target) {
+    Known.insert(Target.Key);
+    updateCold(Target);
+  });
+  ColdTargets.keepOnly(Known);
+}
+
+void gateway::addHeldBack(std::string_view Service,
+                          std::vector<placement::target_key> &Keys) {
+  if (ColdTargets.size() == 0)
+    return;
+  const boot_time Now = Loop.now();
+  const size_t Before = Keys.size();
+  for (const placement::target_ref &Target : TargetSet.targetsOf(Service)) {
+    const auto Next = ColdTargets.nextUse(Target->Key, Now);
+    if (!Next || *Next > Now)
+      Keys.push_back(Target->Key);
+  }
+  if (Keys.size() > Before)
+    ++Counters.ColdHeldBack;
+}
+
+boot_time gateway::takesRequestsFrom(std::string_view Service) const {
+  const boot_time Now = Loop.now();
+  std::optional<boot_time> First;
+  for (const placement::target_ref &Target : TargetSet.targetsOf(Service)) {
+    if (Target->isDraining())
+      continue;
+    const boot_time Next = std::max(
+        Target->PausedUntil,
+        ColdTargets.nextUse(Target->Key, Now).value_or(boot_time::max()));
+    First = std::min(First.value_or(Next), Next);
+  }
+  return First.value_or(Now);
+}
+
 void gateway::onConnectionLost(placement::lost_connection Lost) {
   logConnectionLost(Lost, Loop.now());
   checkEnded(Lost);
--- a/Source/Gateway/HeaderNames.h
+++ b/Source/Gateway/HeaderNames.h
@@ -23,6 +23,8 @@
   std::string Draining;
   /// Requests per second that a target takes from the whole fleet.
   std::string RateLimit;
+  /// Milliseconds for which a target stays cold.
+  std::string WarmupMs;
   /// API key of a caller.
   std::string Key;
 };
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -105,6 +105,20 @@
                {"from", Source == limit_source::Target ? "target" : "peer"}});
 }
 
+void logTargetCold(const placement::target &Target, double PerSecond,
+                   boot_time Now) {
+  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Target.warmupLeft(Now));
+  common::log(
+      log_level::Info, Component, PerSecond > 0 ? "target cold" : "target warm",
+      {{"target", Target.Entry.Id},
+       {"service", Target.Entry.Service},
+       {"per_second", PerSecond},
+       {"left_ms", Left.count()},
+       {"sequence", Target.Entry.Sequence},
+       {"from", Target.SaidWarmFrom > Target.WarmFrom ? "response" : "entry"}});
+}
+
 void logRequestOutcome(const outcome_record &Line) {
   const bool Good =
       Line.Outcome == "answered" && Line.Status < FirstServerError;
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -53,6 +53,11 @@
 void logTargetLimit(const placement::target &Target,
                     std::optional<double> PerSecond, limit_source Source);
 
+/// Logs that \p Target is cold and takes \p PerSecond requests per second from
+/// the whole fleet, or with zero that it has no such limit any more.
+void logTargetCold(const placement::target &Target, double PerSecond,
+                   boot_time Now);
+
 /// The outcome of a request.
 struct outcome_record {
   std::string_view Id;
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -2,6 +2,7 @@
 
 #include <string>
 
+#include "Fleet/ColdTargets.h"
 #include "Fleet/CollectorChoice.h"
 #include "Fleet/FetchPlan.h"
 #include "Fleet/FleetBuckets.h"
@@ -128,6 +129,7 @@
   shutdown_settings Shutdown;
   fleet::budget_settings Budget;
   fleet::limit_settings Limits;
+  fleet::cold_settings Cold;
   fleet::quarantine_settings Quarantine;
   fleet::bucket_settings Rates;
   fleet::peer_settings Peers;
--- a/Source/Gateway/TargetFeedback.h
+++ b/Source/Gateway/TargetFeedback.h
@@ -18,6 +18,8 @@
   /// Requests per second that it takes from the whole fleet; none if it did not
   /// name a limit.
   std::optional<double> LimitPerSecond;
+  /// How long it stays cold; none if it did not say.
+  std::optional<duration> WarmupLeft;
 };
 
 /// Values that make no sense count as not said. Never fails.
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -74,6 +74,58 @@
     CHECK(Targets.roomOf("orders", Now).Slots == 12);
     CHECK(Targets.roomOf("orders", Now).FreeSlots == 2);
   }
+  SUBCASE("rarely one that is cold, from when its entry says so") {
+    const target &Cold = *Targets.find("a");
+    target_entry Entry = entryOf("a", "Trnava");
+    Entry.Sequence = 2;
+    Entry.WarmupLeft = seconds(2);
+    Now += seconds(10);
+    Targets.put(Entry, Now);
+    const int Drawn = Draw(400)["a"];
+    CHECK(Drawn > 0);
+    CHECK(Drawn < 80);
+
+    SUBCASE("for as long as it says") {
+      Now += milliseconds(500);
+      Targets.put(Entry, Now);
+      CHECK(Cold.warmupLeft(Now) == milliseconds(1500));
+      Now += milliseconds(1500);
+      CHECK(Cold.warmupLeft(Now) == milliseconds(0));
+      CHECK(Draw(400)["a"] > 70);
+    }
+    SUBCASE("until a later report says that it is warm") {
+      Entry.Sequence = 3;
+      Entry.WarmupLeft = seconds(0);
+      Targets.put(Entry, Now);
+      CHECK(Cold.warmupLeft(Now) == seconds(0));
+    }
+    SUBCASE("also while its responses alone say so") {
+      Targets.find("a")->SaidWarmFrom = Now + seconds(7);
+      CHECK(Cold.warmupLeft(Now) == seconds(7));
+      Targets.find("a")->SaidWarmFrom = Now;
+      CHECK(Cold.warmupLeft(Now) == seconds(2));
+    }
+    SUBCASE("and not in its next incarnation") {
+      Entry.StartedUnixMs = 2;
+      Entry.WarmupLeft = seconds(0);
+      Targets.put(Entry, Now);
+      CHECK(Targets.find("a")->warmupLeft(Now) == seconds(0));
+    }
+  }
+  SUBCASE("as a probe one that few instances send to as often as another") {
+    Targets.put(entryOf("x", "Nitra"), Now);
+    Now += seconds(3);
+    for (const char *Id : {"a", "b", "c", "d"})
+      Targets.find(Id)->LastUsed = Now;
+    Query.ProbingRate = 100;
+    const int AmongAll = Draw(1000)["x"];
+    CHECK(AmongAll > 5);
+    CHECK(AmongAll < 60);
+    Targets.find("x")->SenderFraction = 0.1;
+    const int AmongFew = Draw(1000)["x"];
+    CHECK(AmongFew > 180);
+    CHECK(AmongFew < 320);
+  }
   SUBCASE("not one that has just failed") {
     for (const char *Id : {"a", "b", "c", "d"})
       Succeed(Id);
