Forward a target's report when it is cold for longer

Cause: instances that do not read the store see only reports that differ in what matters to requests, and of the warm-up only whether any is left: a target that became cold anew while it was cold was taken for warm too early by them. Change: the remaining time counts rounded up to a power of two in seconds, and each step is forwarded.

--- a/Source/Core/Placement/TargetEntry.h
+++ b/Source/Core/Placement/TargetEntry.h
@@ -36,8 +36,15 @@
 /// The key of \p Entry, the same on every instance.
 target_key keyOf(const target_entry &Entry);
 
+/// How long a target with this remaining time counts as cold: the time rounded
+/// up to a power of two in seconds. Instances that see only reports with
+/// another identityHash() then never believe too early that it is warm, also if
+/// it became cold anew meanwhile.
+duration countedWarmup(duration Left);
+
 /// A hash of all that matters to requests: all but what each report of a target
-/// changes, its sequence and how long it is still warming up.
+/// changes, its sequence and how long it is still cold, except for
+/// countedWarmup().
 uint64_t identityHash(const target_entry &Entry);
 
 } // namespace magnolia::placement
--- a/Source/Core/Placement/TargetRegistry.cpp
+++ b/Source/Core/Placement/TargetRegistry.cpp
@@ -17,10 +17,19 @@
       common::stableHash(Entry.Id, static_cast<uint64_t>(Entry.StartedUnixMs)));
 }
 
+duration countedWarmup(duration Left) {
+  if (Left <= duration::zero())
+    return duration::zero();
+  duration Counted = std::chrono::seconds(1);
+  while (Counted < Left)
+    Counted *= 2;
+  return Counted;
+}
+
 uint64_t identityHash(const target_entry &Entry) {
   const std::string Numbers = absl::StrCat(
       Entry.StartedUnixMs, "/", Entry.Capacity, "/", Entry.Draining ? 1 : 0,
-      "/", Entry.WarmupLeft > duration::zero() ? 1 : 0);
+      "/", countedWarmup(Entry.WarmupLeft) / std::chrono::seconds(1));
   uint64_t Hash = 0;
   for (const std::string &Part : {Entry.Id, Entry.Service, Entry.Address,
                                   Entry.FailureDomain, Entry.Version, Numbers})
--- a/Source/UnitTests/Placement/TargetRegistryTest.cpp
+++ b/Source/UnitTests/Placement/TargetRegistryTest.cpp
@@ -149,3 +149,30 @@
     CHECK_FALSE(Registry.contains("a"));
   }
 }
+
+TEST_CASE("A target's report matters to requests") {
+  target_entry Entry;
+  Entry.Id = "a";
+  Entry.WarmupLeft = milliseconds(3900);
+  const uint64_t Hash = identityHash(Entry);
+
+  SUBCASE("not by its sequence alone, or a little less time until it is warm") {
+    Entry.Sequence = 9;
+    Entry.WarmupLeft = milliseconds(2100);
+    CHECK(identityHash(Entry) == Hash);
+  }
+  SUBCASE("when it is nearly warm, or warm") {
+    Entry.WarmupLeft = milliseconds(900);
+    CHECK(identityHash(Entry) != Hash);
+    const uint64_t NearlyWarm = identityHash(Entry);
+    Entry.WarmupLeft = milliseconds(0);
+    CHECK(identityHash(Entry) != NearlyWarm);
+  }
+  SUBCASE("when it is cold for longer than it counted as before") {
+    Entry.WarmupLeft = milliseconds(4001);
+    CHECK(identityHash(Entry) != Hash);
+    CHECK(countedWarmup(milliseconds(2100)) == milliseconds(4000));
+    CHECK(countedWarmup(milliseconds(4000)) == milliseconds(4000));
+    CHECK(countedWarmup(std::chrono::hours(24)) >= std::chrono::hours(24));
+  }
+}
