--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 
+#include "Fleet/ColdTargets.h"
 #include "Fleet/CollectorChoice.h"
 #include "Fleet/FetchPlan.h"
 #include "Fleet/FleetBuckets.h"
@@ -132,6 +133,7 @@
   shutdown_settings Shutdown;
   fleet::budget_settings Budget;
   fleet::limit_settings Limits;
+  fleet::cold_settings Cold;
   fleet::quarantine_settings Quarantine;
   fleet::bucket_settings Rates;
   fleet::peer_settings Peers;
