Divide the targets of few slots among many instances

What callers saw: where 166 instances share targets of two slots, the targets turned away one in six requests that reached them while others were idle, and requests waited behind each other. Cause: reports between instances are 250 to 500 ms old and a request takes 100 ms, so all instances chose the target that seemed the least busy some requests ago. The load that targets tell was not read. Change: where an instance's own count of requests in flight says nothing (more than 32 instances for each slot of a target) and targets tell their load, each instance prefers its own part of the targets of its failure domain, while they have a free slot and are as sound as any; other requests go to the best of three that are drawn at random. A target that refused counts as full for the time of one request. Three sends of a request may be refused instead of seven.

--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -91,14 +91,18 @@
   return targetsOf(Service).size();
 }
 
-uint32_t target_set::inFlightAt(const target &Target, boot_time Now) const {
-  uint32_t Count = Target.OwnInFlight;
+uint32_t target_set::reportedAt(const target &Target, boot_time Now) {
+  uint32_t Count = 0;
   for (const auto &[Peer, PeerCount] : Target.Peers)
     if (Now - PeerCount.ReportedAt < PeerCountLifetime)
       Count += PeerCount.InFlight;
   return Count;
 }
 
+uint32_t target_set::inFlightAt(const target &Target, boot_time Now) const {
+  return Target.OwnInFlight + reportedAt(Target, Now);
+}
+
 service_room target_set::roomOf(std::string_view Service, boot_time Now) const {
   service_room Room;
   for (const target_ref &Target : targetsOf(Service)) {
@@ -107,19 +111,36 @@
       continue;
     const uint32_t Capacity = Target->Entry.Capacity;
     Room.Slots += Capacity;
-    Room.FreeSlots += Capacity - std::min(Capacity, inFlightAt(*Target, Now));
+    if (Target->Load.isFull(Now))
+      continue;
+    const auto Requests =
+        static_cast<uint32_t>(std::lround(knownRequestsAt(*Target, Now)));
+    Room.FreeSlots += Capacity - std::min(Capacity, Requests);
   }
   return Room;
 }
 
 bool target_set::isOverCapacity(const target &Target, boot_time Now) const {
-  return inFlightAt(Target, Now) > Target.Entry.Capacity;
+  return requestsAt(Target, Now) > Target.Entry.Capacity;
 }
 
 double target_set::costOf(const target &Target, const placement_query &Query,
                           boot_time Now) const {
-  const uint32_t InFlight = inFlightAt(Target, Now);
-  const bool Untried = InFlight == 0 &&
+  return healthCostOf(Target, Query, Now) + loadCostOf(Target, Now);
+}
+
+double target_set::loadCostOf(const target &Target, boot_time Now) const {
+  const double Slots = std::max<uint32_t>(Target.Entry.Capacity, 1);
+  const double Utilization = (requestsAt(Target, Now) + 1) / Slots;
+  return Settings.UtilizationCost * Utilization +
+         Settings.BusyCost *
+             std::max(0.0, Utilization - Settings.BusyUtilization);
+}
+
+double target_set::healthCostOf(const target &Target,
+                                const placement_query &Query,
+                                boot_time Now) const {
+  const bool Untried = inFlightAt(Target, Now) == 0 &&
                        Target.Fleet.lastPositive() == boot_time() &&
                        Target.Fleet.lastFailure() == boot_time();
   double Gray = Target.Fleet.probabilityAt(Now);
@@ -127,11 +148,6 @@
     Gray *= Settings.UntriedRiskFactor;
   const double Risk = 1 - (1 - Gray) * (1 - Target.Path.probabilityAt(Now));
   double Cost = Risk * (Query.Repeatable ? RepeatableFailureCost : 1.0);
-  const double Slots = std::max<uint32_t>(Target.Entry.Capacity, 1);
-  const double Utilization = (InFlight + 1) / Slots;
-  Cost += Settings.UtilizationCost * Utilization;
-  Cost +=
-      Settings.BusyCost * std::max(0.0, Utilization - Settings.BusyUtilization);
   if (Target.Entry.FailureDomain != FailureDomain)
     Cost += Settings.OtherDomainCost;
   if (Target.IdleConnections == 0)
@@ -259,35 +275,36 @@
                               absl::BitGenRef Random) const {
   if (target_ref Probed = chooseProbed(Query, Now, Random))
     return Probed;
-  struct candidate {
-    const target_ref *Target;
-    double Cost;
-  };
+  if (isDivided(Query.Service))
+    return chooseDivided(Query, Now, Random);
   std::vector<candidate> Candidates;
-  double LowestCost = std::numeric_limits<double>::max();
-  for (const target_ref &Target : targetsOf(Query.Service)) {
-    if (!isUsable(*Target, Query, Now))
-      continue;
-    const double Cost = costOf(*Target, Query, Now);
-    Candidates.push_back({&Target, Cost});
-    LowestCost = std::min(LowestCost, Cost);
-  }
+  for (const target_ref &Target : targetsOf(Query.Service))
+    if (isUsable(*Target, Query, Now))
+      Candidates.push_back({&Target, costOf(*Target, Query, Now)});
   if (Candidates.empty())
     return nullptr;
+  return draw(std::move(Candidates), Random);
+}
+
+const target_ref &target_set::draw(std::vector<candidate> Among,
+                                   absl::BitGenRef Random) const {
+  double LowestCost = std::numeric_limits<double>::max();
+  for (const candidate &Candidate : Among)
+    LowestCost = std::min(LowestCost, Candidate.Cost);
   // Replaces each cost by its softmax weight.
   double Total = 0;
-  for (candidate &Candidate : Candidates) {
+  for (candidate &Candidate : Among) {
     Candidate.Cost =
         std::exp((LowestCost - Candidate.Cost) / Settings.CostTemperature);
     Total += Candidate.Cost;
   }
   double Drawn = absl::Uniform(Random, 0.0, Total);
-  for (const candidate &Candidate : Candidates) {
+  for (const candidate &Candidate : Among) {
     Drawn -= Candidate.Cost;
     if (Drawn <= 0)
       return *Candidate.Target;
   }
-  return *Candidates.back().Target;
+  return *Among.back().Target;
 }
 
 void target_set::pause(target &Target, duration Pause, boot_time Now) {
@@ -313,6 +330,10 @@
     Target.SaidDraining = true;
     return;
   }
+  if (Evidence == evidence::Succeeded || Evidence == evidence::SucceededLate)
+    ServiceTimes[Target.Entry.Service].observe(Now - SentAt);
+  if (Evidence == evidence::Refused)
+    Target.Load.refuse(Now + serviceTimeOf(Target.Entry.Service));
   // A failed connection or a missing response may be caused by the network path
   // alone.
   if (Evidence != evidence::Unreachable)
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -11,8 +11,10 @@
 #include <absl/types/span.h>
 
 #include "Placement/GrayEstimator.h"
+#include "Placement/PreferredTargets.h"
 #include "Placement/ServiceRoom.h"
 #include "Placement/TargetEntry.h"
+#include "Placement/ToldLoad.h"
 
 namespace magnolia::placement {
 
@@ -72,6 +74,14 @@
   /// same target. A lower value concentrates load on the targets with the most
   /// recent success.
   double CostTemperature = 0.04;
+  /// With more instances for each slot of the targets of a service than this,
+  /// its targets are divided among them: the own count of requests in flight to
+  /// a busy target is zero in 31 of 32 cases.
+  size_t MaxInstancesPerSlot = 32;
+  /// Where the targets are divided, those whose cost, their load aside, is
+  /// this close to the lowest one count as equally good: it is what the risk of
+  /// a target grows by in some seconds without evidence.
+  double HealthMargin = 0.1;
 };
 
 /// A target from the point of view of one instance.
@@ -92,6 +102,10 @@
   /// Time of the last known request from any instance.
   boot_time LastUsed;
   uint32_t OwnInFlight = 0;
+  /// What it tells of its load.
+  load_estimate Load;
+  /// It told a load that makes no sense, which was logged.
+  bool InvalidLoadLogged = false;
   /// Idle connections of this instance.
   uint32_t IdleConnections = 0;
   bool Removed = false;
@@ -142,6 +156,37 @@
   /// Removes a target; requests in flight to it continue.
   void remove(std::string_view Id);
 
+  /// How the targets of a service were divided.
+  struct division {
+    std::string Service;
+    size_t Targets = 0;
+    size_t Preferred = 0;
+  };
+  /// Takes the instances of the fleet and divides the targets of the services
+  /// where that matters, see isOwnCountMeaningless(). Returns the services of
+  /// which this instance prefers other targets than before.
+  std::vector<division> setMembers(fleet_members Changed);
+
+  /// Whether requests for \p Service prefer a part of its targets: its targets
+  /// are divided and tell their load.
+  bool isDivided(std::string_view Service) const;
+  /// As in preferred_targets.
+  std::optional<size_t> choiceOf(const target &Target) const;
+  bool isPreferred(const target &Target) const {
+    return choiceOf(Target).has_value();
+  }
+
+  /// Records the load that \p Target told in a response, before that request
+  /// is taken off those in flight; none if it told none.
+  static void tellLoad(target &Target, const std::optional<told_load> &Load,
+                       boot_time Now);
+
+  /// Requests at \p Target as told by itself and by the peers.
+  double knownRequestsAt(const target &Target, boot_time Now) const;
+
+  /// How long the requests of \p Service take.
+  duration serviceTimeOf(std::string_view Service) const;
+
   /// Returns the target for a request, or null when no target may be used.
   /// Chooses by expected cost: the risk that the target is gray or unreachable
   /// from this instance, queueing at the target, traffic between failure
@@ -216,6 +261,39 @@
                 boot_time Now) const;
 
 private:
+  /// A target that may be chosen, and its cost.
+  struct candidate {
+    const target_ref *Target = nullptr;
+    double Cost = 0;
+  };
+  /// Draws a candidate by the softmax of the costs. \p Among must not be empty.
+  const target_ref &draw(std::vector<candidate> Among,
+                         absl::BitGenRef Random) const;
+  /// The choice among the targets of a service that are divided: a preferred
+  /// target that has a free slot and is as sound as any, otherwise the best one
+  /// of three that are drawn without regard to load, one of them in another
+  /// failure domain. An instance can't know the load of each target: choosing
+  /// the one that seems to be the least busy, as all instances would, overloads
+  /// it.
+  target_ref chooseDivided(const placement_query &Query, boot_time Now,
+                           absl::BitGenRef Random) const;
+  /// Targets that may be used, with their cost without load; those that have
+  /// just refused only if there is no other.
+  std::vector<candidate> dividedCandidates(const placement_query &Query,
+                                           boot_time Now) const;
+  target_ref choosePreferred(absl::Span<const candidate> Candidates,
+                             const placement_query &Query, boot_time Now,
+                             absl::BitGenRef Random) const;
+  /// The part of the cost that does not depend on the load of \p Target, and
+  /// the part that does.
+  double healthCostOf(const target &Target, const placement_query &Query,
+                      boot_time Now) const;
+  double loadCostOf(const target &Target, boot_time Now) const;
+  /// As knownRequestsAt(), or as told by the peers alone where the own count of
+  /// requests in flight says something.
+  double requestsAt(const target &Target, boot_time Now) const;
+  bool hasFreeSlot(const target &Target, boot_time Now) const;
+
   static bool isUsable(const target &Target, const placement_query &Query,
                        boot_time Now);
   /// How long a target that is probably gray is excluded after its last
@@ -243,6 +321,7 @@
   double wantedProbeRate(absl::Span<const target_ref> Due) const;
   target_ref chooseProbed(const placement_query &Query, boot_time Now,
                           absl::BitGenRef Random) const;
+  static uint32_t reportedAt(const target &Target, boot_time Now);
   uint32_t inFlightAt(const target &Target, boot_time Now) const;
 
   const placement_settings Settings;
@@ -253,6 +332,10 @@
   absl::flat_hash_map<std::string, target_ref> ById;
   absl::flat_hash_map<target_key, target_ref> ByKey;
   absl::flat_hash_map<std::string, std::vector<target_ref>> ByService;
+  absl::flat_hash_map<std::string, service_time> ServiceTimes;
+  fleet_members Members;
+  /// The own parts of the services that are divided.
+  absl::flat_hash_map<std::string, preferred_targets> Preferred;
   /// The targets at which each peer has requests in flight.
   absl::flat_hash_map<uint64_t, std::vector<target_ref>> UsedByPeer;
 };
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -296,8 +296,10 @@
 }
 
 void exchange::logAttempt(const attempt &Attempt, bool KeptConnection) const {
-  logAttemptStart({Id, Reason, Service, *Attempt.Target, KeptConnection,
-                   timeLeft(), Gateway.Loop.now()});
+  logAttemptStart(
+      {Id, Reason, Service, *Attempt.Target, KeptConnection, timeLeft(),
+       Gateway.Loop.now(), Gateway.TargetSet.isPreferred(*Attempt.Target),
+       Gateway.TargetSet.knownRequestsAt(*Attempt.Target, Gateway.Loop.now())});
 }
 
 void exchange::connect(const attempt_ref &Attempt) {
@@ -375,6 +377,8 @@
 void exchange::send(const attempt_ref &Attempt) {
   const boot_time Now = Gateway.Loop.now();
   ++Gateway.Counters.Sends;
+  if (Gateway.TargetSet.isPreferred(*Attempt->Target))
+    ++Gateway.Counters.PreferredSends;
   Attempt->Sent = true;
   Attempt->SentAt = Now;
   Attempt->Target->LastUsed = Now;
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds EarlyGiveUp{15};
 /// Number of refusals by targets after which a request is given up.
 constexpr size_t MaxRefusals = 7;
+/// The same where targets tell their load, so that a request is sent to one
+/// that has room, as far as that is known.
+constexpr size_t MaxRefusalsIfLoadIsTold = 3;
 
 bool isSuccess(int Status) {
   return Status >= FirstSuccess && Status < FirstRedirect;
@@ -90,6 +93,7 @@
   if (Feedback.Draining)
     Gateway.onTargetDraining(Id, *Attempt->Target);
   Gateway.onTargetLimit(*Attempt->Target, Feedback.LimitPerSecond);
+  Gateway.onTargetLoad(Id, *Attempt->Target, Feedback);
   if (Feedback.Pause)
     pauseTarget(*Attempt, *Feedback.Pause);
   if (SaysNotRun) {
@@ -155,19 +159,24 @@
 }
 
 void exchange::onNotRun(const attempt_ref &Attempt) {
+  ++Gateway.Counters.RefusedByTargets;
   RefusedBy.push_back(Attempt->Target->Key);
   endAttempt(Attempt, true);
   MayHaveRun = RefusedBy.size() < SentTo.size();
   if (openAttempts() > 0)
     return;
-  const bool MayRepeat = RefusedBy.size() < MaxRefusals &&
-                         !allTargetsArePaused() &&
-                         tryExtraAttempt("after_refusal");
+  const bool LoadIsTold = Gateway.TargetSet.isDivided(Service);
+  const bool NoRoom =
+      LoadIsTold &&
+      Gateway.TargetSet.roomOf(Service, Gateway.Loop.now()).isUsedUp();
+  const bool MayRepeat =
+      RefusedBy.size() < (LoadIsTold ? MaxRefusalsIfLoadIsTold : MaxRefusals) &&
+      !allTargetsArePaused() && tryExtraAttempt("after_refusal");
   if (!MayRepeat) {
     giveUp(error_kind::TargetRefused, "targets refuse requests");
     return;
   }
-  if (mayUseAnotherTarget() && hasUntriedTarget()) {
+  if (!NoRoom && mayUseAnotherTarget() && hasUntriedTarget()) {
     tryNext();
     return;
   }
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -1,5 +1,7 @@
 #include "Gateway/FleetAgent.h"
 
+#include <algorithm>
+
 #include <absl/container/flat_hash_set.h>
 #include <absl/random/random.h>
 #include <nlohmann/json.hpp>
@@ -96,6 +98,23 @@
   });
 }
 
+placement::fleet_members fleet_agent::members() const {
+  const boot_time Now = Loop.now();
+  placement::fleet_members Members;
+  Members.OwnName = Settings.Identity.Name;
+  Members.InDomain.push_back(Members.OwnName);
+  for (const auto &[Name, Peer] : Peers->peers()) {
+    if (!Peers->isReachable(Peer, Now) ||
+        Peer.State != fleet::instance_state::Ready)
+      continue;
+    ++Members.Total;
+    if (Peer.Identity.FailureDomain == Settings.Identity.FailureDomain)
+      Members.InDomain.push_back(Name);
+  }
+  std::sort(Members.InDomain.begin(), Members.InDomain.end());
+  return Members;
+}
+
 void fleet_agent::sendHello(const sockaddr_in &To, bool WantsReply) {
   fleet::hello_message Hello;
   Hello.Boot = Boot;
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -106,6 +106,8 @@
   fleet::fleet_part reachablePart() const {
     return {reachableFraction(), Peers->reachableCount(Loop.now()) + 1};
   }
+  /// This instance and the peers that are reachable and serve callers.
+  placement::fleet_members members() const;
   /// The fraction of the registered fleet that this instance is.
   double ownFraction() const {
     return 1 / static_cast<double>(Peers->size() + 1);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -143,6 +143,7 @@
   Metrics.addReader([this](std::vector<common::metric_sample> &Samples) {
     addRequestSamples(Samples);
     addTargetSamples(Samples);
+    addLoadSamples(Samples);
     addFleetSamples(Samples);
   });
   return absl::OkStatus();
@@ -196,6 +197,7 @@
   Fleet->start();
   Loop.callEvery(SweepPeriod, [this] {
     Pool.sweep();
+    divideTargets();
     TargetRegistry.advance(storeAvailability(), Loop.now());
     Fleet->limits().advance(Loop.now());
     Fleet->quarantine().advance(Loop.now());
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -19,6 +19,7 @@
 #include "Gateway/Store.h"
 #include "Gateway/StoreSharing.h"
 #include "Gateway/TargetEndCheck.h"
+#include "Gateway/TargetFeedback.h"
 #include "Gateway/TargetPool.h"
 #include "Net/Message/HttpServer.h"
 #include "Placement/LossFilter.h"
@@ -66,6 +67,10 @@
   uint64_t Quarantined = 0;
   /// Requests that were refused since messages held nearly all memory.
   uint64_t RefusedForMemory = 0;
+  /// Requests that targets refused to run.
+  uint64_t RefusedByTargets = 0;
+  /// Sends to targets that this instance prefers.
+  uint64_t PreferredSends = 0;
 };
 
 /// One instance of the proxy. Its timers and connections refer to it: the loop
@@ -138,6 +143,11 @@
   /// none.
   void onTargetLimit(const placement::target &Target,
                      std::optional<double> PerSecond);
+  /// Records the load that \p Target told in a response, or that it told none.
+  void onTargetLoad(std::string_view RequestId, placement::target &Target,
+                    const target_feedback &Feedback);
+  /// Divides the targets among the instances that are known now.
+  void divideTargets();
   /// Records a connection that was lost before a complete response. For a few
   /// milliseconds it counts only against the path to the target; then it counts
   /// against the target as well, unless many others were lost with it.
@@ -161,6 +171,7 @@
   /// deadline \p RespondBy must be refused.
   bool mustReject(boot_time RespondBy) const;
   void addRequestSamples(std::vector<common::metric_sample> &Samples) const;
+  void addLoadSamples(std::vector<common::metric_sample> &Samples) const;
   void addTargetSamples(std::vector<common::metric_sample> &Samples) const;
   void addFleetSamples(std::vector<common::metric_sample> &Samples) const;
   void addPeerTraffic(std::vector<common::metric_sample> &Samples) const;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -63,6 +63,32 @@
       static_cast<double>(Pool.idle()));
 }
 
+void gateway::addLoadSamples(samples &Samples) const {
+  double Telling = 0;
+  double AgeSeconds = 0;
+  double Preferred = 0;
+  TargetSet.forEach([&](const placement::target &Target) {
+    Preferred += TargetSet.isPreferred(Target) ? 1 : 0;
+    if (const auto Age = Target.Load.age(Loop.now())) {
+      ++Telling;
+      AgeSeconds += secondsOf(*Age);
+    }
+  });
+  add(Samples, "magnolia_targets_telling_load",
+      "Targets that told their load in their last response.", Telling);
+  add(Samples, "magnolia_told_load_age_seconds",
+      "Mean time since these targets told it.",
+      Telling > 0 ? AgeSeconds / Telling : 0);
+  add(Samples, "magnolia_preferred_targets",
+      "Targets that this instance prefers.", Preferred);
+  add(Samples, "magnolia_preferred_sends_total",
+      "Requests sent to targets that this instance prefers.",
+      static_cast<double>(Counters.PreferredSends));
+  add(Samples, "magnolia_refused_by_targets_total",
+      "Requests that targets refused to run.",
+      static_cast<double>(Counters.RefusedByTargets));
+}
+
 void gateway::addTargetSamples(samples &Samples) const {
   double Healthy = 0;
   double Suspected = 0;
--- a/Source/Gateway/GatewayTargets.cpp
+++ b/Source/Gateway/GatewayTargets.cpp
@@ -53,6 +53,20 @@
   Fleet->announce();
 }
 
+void gateway::onTargetLoad(std::string_view RequestId,
+                           placement::target &Target,
+                           const target_feedback &Feedback) {
+  placement::target_set::tellLoad(Target, Feedback.Load, Loop.now());
+  if (Feedback.InvalidLoad && !std::exchange(Target.InvalidLoadLogged, true))
+    logInvalidLoad(RequestId, Target, *Feedback.InvalidLoad);
+}
+
+void gateway::divideTargets() {
+  const placement::fleet_members Members = Fleet->members();
+  for (const auto &Division : TargetSet.setMembers(Members))
+    logDivision(Division, Members);
+}
+
 void gateway::onConnectionLost(placement::lost_connection Lost) {
   logConnectionLost(Lost, Loop.now());
   checkEnded(Lost);
--- a/Source/Gateway/HeaderNames.h
+++ b/Source/Gateway/HeaderNames.h
@@ -23,6 +23,9 @@
   std::string Draining;
   /// Requests per second that a target takes from the whole fleet.
   std::string RateLimit;
+  /// Load of a target: the requests that it runs, those that wait, and its
+  /// slots, separated by commas.
+  std::string Load;
   /// API key of a caller.
   std::string Key;
 };
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -27,6 +27,7 @@
 
 void logAttemptStart(const attempt_record &Line) {
   const placement::target &Target = Line.Target;
+  const auto LoadAge = Target.Load.age(Line.Now);
   common::log(log_level::Info, Component, "target chosen",
               {{"id", Line.Id},
                {"reason", Line.Reason},
@@ -36,6 +37,9 @@
                {"gray", rounded(Target.Fleet.probabilityAt(Line.Now))},
                {"path_risk", rounded(Target.Path.probabilityAt(Line.Now))},
                {"own_in_flight", Target.OwnInFlight},
+               {"known_in_flight", rounded(Line.KnownRequests)},
+               {"load_age_ms", LoadAge ? millis(*LoadAge) : -1},
+               {"preferred", Line.Preferred ? 1 : 0},
                {"kept_connection", Line.KeptConnection ? 1 : 0},
                {"left_ms", millis(Line.TimeLeft)}});
 }
@@ -105,6 +109,25 @@
                {"from", Source == limit_source::Target ? "target" : "peer"}});
 }
 
+void logInvalidLoad(std::string_view Id, const placement::target &Target,
+                    std::string_view Text) {
+  constexpr size_t MaxTextBytes = 40;
+  common::log(log_level::Warning, Component, "target load not understood",
+              {{"id", Id},
+               {"target", Target.Entry.Id},
+               {"said", Text.substr(0, MaxTextBytes)}});
+}
+
+void logDivision(const placement::target_set::division &Division,
+                 const placement::fleet_members &Members) {
+  common::log(log_level::Info, Component, "preferred targets",
+              {{"service", Division.Service},
+               {"preferred", Division.Preferred},
+               {"targets_in_domain", Division.Targets},
+               {"instances_in_domain", Members.InDomain.size()},
+               {"instances", Members.Total}});
+}
+
 void logRequestOutcome(const outcome_record &Line) {
   const bool Good =
       Line.Outcome == "answered" && Line.Status < FirstServerError;
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -17,6 +17,10 @@
   bool KeptConnection = false;
   duration TimeLeft{0};
   boot_time Now;
+  /// It is one of those that this instance prefers.
+  bool Preferred = false;
+  /// Requests at the target as told by itself and by the peers.
+  double KnownRequests = 0;
 };
 void logAttemptStart(const attempt_record &Line);
 
@@ -53,6 +57,14 @@
 void logTargetLimit(const placement::target &Target,
                     std::optional<double> PerSecond, limit_source Source);
 
+/// Logs that \p Target tells a load that makes no sense, \p Text.
+void logInvalidLoad(std::string_view Id, const placement::target &Target,
+                    std::string_view Text);
+
+/// Logs of which targets this instance has become the preferred user.
+void logDivision(const placement::target_set::division &Division,
+                 const placement::fleet_members &Members);
+
 /// The outcome of a request.
 struct outcome_record {
   std::string_view Id;
--- a/Source/Gateway/TargetFeedback.cpp
+++ b/Source/Gateway/TargetFeedback.cpp
@@ -1,10 +1,12 @@
 #include "Gateway/TargetFeedback.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <string>
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
 
 #include "Common/StringView.h"
 
@@ -14,6 +16,8 @@
 constexpr int ServiceUnavailable = 503;
 /// A target that names a longer time is asked again after this one.
 constexpr std::chrono::hours MaxPause{1};
+/// A load with a larger number makes no sense.
+constexpr uint32_t MaxToldNumber = 1'000'000;
 
 /// The number of header \p Name, if it is one that is not negative.
 std::optional<double> numberOf(const message::response &Response,
@@ -35,12 +39,39 @@
       std::min(std::chrono::duration<double>(*Seconds), Longest));
 }
 
+/// A load that makes no sense is none: the numbers are missing, too large or in
+/// another order.
+std::optional<placement::told_load> parseLoad(std::string_view Text) {
+  const std::vector<absl::string_view> Parts =
+      absl::StrSplit(common::toAbsl(Text), ',');
+  std::array<uint32_t, 3> Numbers{};
+  if (Parts.size() != Numbers.size())
+    return std::nullopt;
+  for (size_t Index = 0; Index < Numbers.size(); ++Index)
+    if (!absl::SimpleAtoi(Parts[Index], &Numbers.at(Index)) ||
+        Numbers.at(Index) > MaxToldNumber)
+      return std::nullopt;
+  const placement::told_load Load = {Numbers[0], Numbers[1], Numbers[2]};
+  const bool WaitsForNone = Load.Running == 0 && Load.Waiting > 0;
+  if (Load.Slots == 0 || Load.Running > Load.Slots || WaitsForNone)
+    return std::nullopt;
+  return Load;
+}
+
 } // namespace
 
 target_feedback feedbackOf(const message::response &Response,
                            const header_names &Names) {
-  return {Response.Headers.find(Names.Draining) == "1", pauseOf(Response),
-          numberOf(Response, Names.RateLimit)};
+  target_feedback Feedback;
+  Feedback.Draining = Response.Headers.find(Names.Draining) == "1";
+  Feedback.Pause = pauseOf(Response);
+  Feedback.LimitPerSecond = numberOf(Response, Names.RateLimit);
+  if (const auto Load = Response.Headers.find(Names.Load)) {
+    Feedback.Load = parseLoad(*Load);
+    if (!Feedback.Load)
+      Feedback.InvalidLoad = std::string(*Load);
+  }
+  return Feedback;
 }
 
 } // namespace magnolia::gateway
--- a/Source/Gateway/TargetFeedback.h
+++ b/Source/Gateway/TargetFeedback.h
@@ -1,10 +1,11 @@
 #pragma once
 
 #include <optional>
+#include <string>
 
 #include "Gateway/HeaderNames.h"
 #include "Net/Message/Message.h"
-#include "Placement/TargetEntry.h"
+#include "Placement/ToldLoad.h"
 
 namespace magnolia::gateway {
 
@@ -18,6 +19,10 @@
   /// Requests per second that it takes from the whole fleet; none if it did not
   /// name a limit.
   std::optional<double> LimitPerSecond;
+  /// None if it told none, or one that makes no sense.
+  std::optional<placement::told_load> Load;
+  /// What it told in place of a load, if that makes no sense.
+  std::optional<std::string> InvalidLoad;
 };
 
 /// Values that make no sense count as not said. Never fails.
