--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -108,7 +108,9 @@
     return {reachableFraction(), Peers->reachableCount(Loop.now()) + 1};
   }
   /// The registered instances, this one included; none before they were read.
-  std::vector<fleet::fleet_member> members() const;
+  std::vector<fleet::fleet_member> registeredMembers() const;
+  /// This instance and the peers that are reachable and serve callers.
+  placement::fleet_members servingMembers() const;
   /// The fraction of the registered fleet that this instance is.
   double ownFraction() const {
     return 1 / static_cast<double>(Peers->size() + 1);
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -148,6 +148,7 @@
   Metrics.addReader([this](std::vector<common::metric_sample> &Samples) {
     addRequestSamples(Samples);
     addTargetSamples(Samples);
+    addLoadSamples(Samples);
     addFleetSamples(Samples);
   });
   return absl::OkStatus();
@@ -201,6 +202,7 @@
   Fleet->start();
   Loop.callEvery(SweepPeriod, [this] {
     Pool.sweep();
+    divideTargets();
     TargetRegistry.advance(storeAvailability(), Loop.now());
     Evacuation.advance();
     updateColdTargets();
--- a/Source/Gateway/GatewayTargets.cpp
+++ b/Source/Gateway/GatewayTargets.cpp
@@ -86,7 +86,7 @@
 }
 
 void gateway::updateColdTargets() {
-  ColdTargets.setMembers(Fleet->members(), Loop.now());
+  ColdTargets.setMembers(Fleet->registeredMembers(), Loop.now());
   absl::flat_hash_set<placement::target_key> Known;
   TargetSet.forEach([&](placement::target &Target) {
     Known.insert(Target.Key);
@@ -126,6 +126,20 @@
   return First.value_or(Now);
 }
 
+void gateway::onTargetLoad(std::string_view RequestId,
+                           placement::target &Target,
+                           const target_feedback &Feedback) {
+  placement::target_set::tellLoad(Target, Feedback.Load, Loop.now());
+  if (Feedback.InvalidLoad && !std::exchange(Target.InvalidLoadLogged, true))
+    logInvalidLoad(RequestId, Target, *Feedback.InvalidLoad);
+}
+
+void gateway::divideTargets() {
+  const placement::fleet_members Members = Fleet->servingMembers();
+  for (const auto &Division : TargetSet.setMembers(Members))
+    logDivision(Division, Members);
+}
+
 void gateway::onConnectionLost(placement::lost_connection Lost) {
   logConnectionLost(Lost, Loop.now());
   checkEnded(Lost);
--- a/Source/Gateway/HeaderNames.h
+++ b/Source/Gateway/HeaderNames.h
@@ -25,6 +25,9 @@
   std::string RateLimit;
   /// Milliseconds for which a target stays cold.
   std::string WarmupMs;
+  /// Load of a target: the requests that it runs, those that wait, and its
+  /// slots, separated by commas.
+  std::string Load;
   /// API key of a caller.
   std::string Key;
 };
