Order waiting requests by rank, and share what is short by rank

Cause: priorities of routes and workspaces were decoded and used by nothing; a workspace without a priority could not be told from one with zero. With one rank a queue behaves as before.

--- a/Source/Core/Admission/FairQueue.cpp
+++ b/Source/Core/Admission/FairQueue.cpp
@@ -11,6 +11,9 @@
 /// Weight of a new sample in a smoothed slot time.
 constexpr double Smoothing = 0.1;
 
+/// The same for the part of a rank in the grants.
+constexpr double PartSmoothing = 0.02;
+
 /// Interval between removals of idle workspaces.
 constexpr std::chrono::seconds SweepPeriod{1};
 
@@ -25,6 +28,10 @@
   Mean += Smoothing * (Sample - Mean);
 }
 
+void smoothPart(double &Part, double Sample) {
+  Part += PartSmoothing * (Sample - Part);
+}
+
 } // namespace
 
 fair_queue::fair_queue(const fair_queue_options &Options,
@@ -39,12 +46,12 @@
   ticket Ticket = 0;
   {
     const absl::MutexLock Lock(&Mutex);
-    workspace_state &State = stateOf(Request.Workspace, Request.Weight);
+    workspace_state &State = stateOf(Request);
     State.LastUse = Now;
-    if (isLate(State, Request.Deadline, Now)) {
+    absl::Status InTime = checkTurn(State, Request, Now);
+    if (!InTime.ok()) {
       ++Counters.RefusedDeadline;
-      return common::makeError(error_kind::QueueDeadlineExceeded,
-                               "too little time is left before the deadline");
+      return InTime;
     }
     absl::Status Room = makeRoom(State, Decisions);
     if (Room.ok()) {
@@ -75,9 +82,9 @@
   const auto Position = std::find_if(
       State.Waiting.begin(), State.Waiting.end(),
       [&](const waiting_request &W) { return W.Ticket == Ticket; });
+  takeOut(*Position, State);
   State.Waiting.erase(Position);
   State.LastUse = Now;
-  WaitingTickets.erase(Found);
   removeFromBacklogIfEmpty(State);
   ++Counters.Cancelled;
   return true;
@@ -116,6 +123,68 @@
   Options = Changed;
 }
 
+void fair_queue::setPace(double GrantsPerSecond) {
+  const absl::MutexLock Lock(&Mutex);
+  Pace = GrantsPerSecond;
+}
+
+std::chrono::microseconds fair_queue::expectedWait(size_t Rank) const {
+  const absl::MutexLock Lock(&Mutex);
+  return waitOf(Rank);
+}
+
+size_t fair_queue::waitingAhead(size_t Rank) const {
+  const absl::MutexLock Lock(&Mutex);
+  return aheadOf(Rank);
+}
+
+std::chrono::microseconds fair_queue::slotTime() const {
+  const absl::MutexLock Lock(&Mutex);
+  return std::chrono::microseconds(static_cast<int64_t>(SlotTime));
+}
+
+/// Waiting requests of \p Rank and more urgent ones.
+size_t fair_queue::aheadOf(size_t Rank) const {
+  size_t Ahead = 0;
+  for (const auto &[Other, State] : Ranks)
+    if (Other <= Rank)
+      Ahead += State.Waiting;
+  return Ahead;
+}
+
+double fair_queue::paceOf(size_t Rank) const {
+  double Left = 1;
+  for (const auto &[Other, State] : Ranks)
+    if (Other < Rank)
+      Left -= State.GrantedPart;
+  return Pace * std::max(Left, Options.LesserRankShare);
+}
+
+std::chrono::microseconds fair_queue::waitOf(size_t Rank) const {
+  if (Pace <= 0)
+    return std::chrono::microseconds(0);
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+      std::chrono::duration<double>(static_cast<double>(aheadOf(Rank) + 1) /
+                                    paceOf(Rank)));
+}
+
+/// Whether the turn of \p Request comes in time for its deadline.
+absl::Status fair_queue::checkTurn(const workspace_state &State,
+                                   const admission_request &Request,
+                                   boot_time Now) {
+  if (isLate(State, Request.Deadline, Now))
+    return common::makeError(error_kind::QueueDeadlineExceeded,
+                             "too little time is left before the deadline");
+  if (Pace <= 0)
+    return absl::OkStatus();
+  const bool HasTurn =
+      aheadOf(Request.Rank) == 0 && Running.size() < Capacity();
+  if (HasTurn || !isLate(State, Request.Deadline, Now + waitOf(Request.Rank)))
+    return absl::OkStatus();
+  return common::makeError(error_kind::QueueDeadlineExceeded,
+                           "its turn would come too late for the deadline");
+}
+
 fair_queue_counters fair_queue::counters() const {
   const absl::MutexLock Lock(&Mutex);
   fair_queue_counters Result = Counters;
@@ -125,36 +194,52 @@
   return Result;
 }
 
-fair_queue::workspace_state &fair_queue::stateOf(std::string_view Name,
-                                                 double Weight) {
-  std::unique_ptr<workspace_state> &State = Workspaces[std::string(Name)];
+fair_queue::workspace_state &
+fair_queue::stateOf(const admission_request &Request) {
+  std::unique_ptr<workspace_state> &State =
+      Workspaces[{std::string(Request.Workspace), Request.Rank}];
   if (!State) {
     State = std::make_unique<workspace_state>();
+    State->Rank = &Ranks[Request.Rank];
+    State->Rank->Number = Request.Rank;
     State->Number = NextWorkspace++;
     State->SlotTime = SlotTime;
   }
-  State->Weight = Weight;
+  State->Weight = Request.Weight;
   return *State;
 }
 
 void fair_queue::enqueue(workspace_state &State, waiting_request Request) {
   WaitingTickets[Request.Ticket] = &State;
   State.Waiting.push_back(std::move(Request));
+  rank_state &Rank = *State.Rank;
+  ++Rank.Waiting;
   if (State.Waiting.size() > 1)
     return;
   // Idle time earns no credit.
-  State.NextStart = std::max(State.NextStart, VirtualTime);
-  Backlogged.insert(entryOf(State));
+  State.NextStart = std::max(State.NextStart, Rank.VirtualTime);
+  Rank.Backlogged.insert(entryOf(State));
+}
+
+/// Records that \p Request of \p State waits no longer.
+void fair_queue::takeOut(const waiting_request &Request,
+                         workspace_state &State) {
+  WaitingTickets.erase(Request.Ticket);
+  rank_state &Rank = *State.Rank;
+  --Rank.Waiting;
+  if (Rank.Waiting == 0)
+    Rank.Credit = 0;
 }
 
 void fair_queue::removeFromBacklogIfEmpty(workspace_state &State) {
   if (State.Waiting.empty())
-    Backlogged.erase(entryOf(State));
+    State.Rank->Backlogged.erase(entryOf(State));
 }
 
 /// Makes room for one request of \p Requester. In a full queue the newest
 /// request of the workspace with the longest queue relative to its weight is
-/// refused, so that no workspace can block others.
+/// refused, so that no workspace can block others: of the least urgent rank if
+/// that is less urgent, else of the requester's own rank.
 absl::Status fair_queue::makeRoom(const workspace_state &Requester,
                                   decisions &Decisions) {
   if (Requester.Waiting.size() >= Options.WorkspaceLimit)
@@ -162,26 +247,37 @@
                              "the workspace has too many waiting requests");
   if (WaitingTickets.size() < Options.QueueLimit)
     return absl::OkStatus();
-  workspace_state *Longest = longestQueue();
+  const rank_state *LeastUrgent = leastUrgent();
+  const bool ForMoreUrgent =
+      LeastUrgent != nullptr && LeastUrgent->Number > Requester.Rank->Number;
+  workspace_state *Longest =
+      longestQueue(ForMoreUrgent ? *LeastUrgent : *Requester.Rank);
   const double NewLength =
       static_cast<double>(Requester.Waiting.size() + 1) / Requester.Weight;
-  if (Longest == nullptr ||
-      static_cast<double>(Longest->Waiting.size()) / Longest->Weight <=
-          NewLength)
+  const bool IsLonger =
+      Longest != nullptr &&
+      static_cast<double>(Longest->Waiting.size()) / Longest->Weight >
+          NewLength;
+  if (!ForMoreUrgent && !IsLonger)
     return common::makeError(error_kind::QueueFull, "the queue is full");
-  waiting_request &Newest = Longest->Waiting.back();
+  dropNewest(*Longest, Decisions);
+  return absl::OkStatus();
+}
+
+void fair_queue::dropNewest(workspace_state &Longest, decisions &Decisions) {
+  waiting_request &Newest = Longest.Waiting.back();
   Decisions.push_back(
       {std::move(Newest.OnDecision), Newest.Ticket,
        common::makeError(error_kind::QueueFull,
-                         "made room for a workspace with less waiting")});
-  WaitingTickets.erase(Newest.Ticket);
-  Longest->Waiting.pop_back();
-  removeFromBacklogIfEmpty(*Longest);
+                         "made room for a more urgent request or a workspace "
+                         "with less waiting")});
+  takeOut(Newest, Longest);
+  Longest.Waiting.pop_back();
+  removeFromBacklogIfEmpty(Longest);
   ++Counters.RefusedFull;
-  return absl::OkStatus();
 }
 
-fair_queue::workspace_state *fair_queue::longestQueue() {
+fair_queue::workspace_state *fair_queue::longestQueue(const rank_state &Rank) {
   const auto Shorter = [](const auto &Left, const auto &Right) {
     const auto Length = [](const workspace_state &State) {
       return static_cast<double>(State.Waiting.size()) / State.Weight;
@@ -189,25 +285,64 @@
     return Length(*Left.State) < Length(*Right.State);
   };
   const auto Longest =
-      std::max_element(Backlogged.begin(), Backlogged.end(), Shorter);
-  return Longest == Backlogged.end() ? nullptr : Longest->State;
+      std::max_element(Rank.Backlogged.begin(), Rank.Backlogged.end(), Shorter);
+  return Longest == Rank.Backlogged.end() ? nullptr : Longest->State;
+}
+
+fair_queue::rank_state *fair_queue::leastUrgent() {
+  for (auto Rank = Ranks.rbegin(); Rank != Ranks.rend(); ++Rank)
+    if (Rank->second.Waiting > 0)
+      return &Rank->second;
+  return nullptr;
+}
+
+fair_queue::rank_state *fair_queue::nextRank() {
+  rank_state *Next = nullptr;
+  for (auto &[Number, Rank] : Ranks) {
+    if (Rank.Waiting == 0)
+      continue;
+    if (Rank.Credit >= 1)
+      return &Rank;
+    if (Next == nullptr)
+      Next = &Rank;
+  }
+  return Next;
+}
+
+/// Ranks that wait while \p Granted gets a grant share their part of it.
+void fair_queue::countGrant(rank_state &Granted) {
+  Granted.Credit = std::max(0.0, Granted.Credit - 1);
+  for (auto &[Number, Rank] : Ranks)
+    smoothPart(Rank.GrantedPart, &Rank == &Granted ? 1 : 0);
+  const auto Waits = [&](const auto &Entry) {
+    return Entry.second.Waiting > 0 && &Entry.second != &Granted;
+  };
+  const auto Others = std::count_if(Ranks.begin(), Ranks.end(), Waits);
+  for (auto &Entry : Ranks)
+    if (Waits(Entry))
+      Entry.second.Credit +=
+          Options.LesserRankShare / static_cast<double>(Others);
 }
 
 void fair_queue::grantWaiting(boot_time Now, decisions &Decisions) {
-  if (Backlogged.empty())
+  rank_state *Next = nextRank();
+  if (Next == nullptr)
     return;
   const size_t Slots = Capacity();
-  while (Running.size() < Slots && !Backlogged.empty())
-    grantNext(Now, Decisions);
+  while (Running.size() < Slots && Next != nullptr) {
+    grantNext(*Next, Now, Decisions);
+    Next = nextRank();
+  }
 }
 
-/// Grants the oldest request of the backlogged workspace with the lowest start
-/// tag, after refusing those before it that are late.
-void fair_queue::grantNext(boot_time Now, decisions &Decisions) {
-  workspace_state &State = *Backlogged.begin()->State;
+/// Grants the oldest request of the backlogged workspace of \p Rank with the
+/// lowest start tag, after refusing those before it that are late.
+void fair_queue::grantNext(rank_state &Rank, boot_time Now,
+                           decisions &Decisions) {
+  workspace_state &State = *Rank.Backlogged.begin()->State;
   while (!State.Waiting.empty() &&
          isLate(State, State.Waiting.front().Deadline, Now)) {
-    Decisions.push_back(refuseForDeadline(State.Waiting.front()));
+    Decisions.push_back(refuseForDeadline(State.Waiting.front(), State));
     State.Waiting.pop_front();
   }
   removeFromBacklogIfEmpty(State);
@@ -215,9 +350,10 @@
     return;
   waiting_request Next = std::move(State.Waiting.front());
   State.Waiting.pop_front();
-  WaitingTickets.erase(Next.Ticket);
+  countGrant(Rank);
+  takeOut(Next, State);
   removeFromBacklogIfEmpty(State);
-  VirtualTime = std::max(VirtualTime, State.NextStart);
+  Rank.VirtualTime = std::max(Rank.VirtualTime, State.NextStart);
   const double Charged =
       Options.Charge == charge_unit::Request ? RequestCharge : State.SlotTime;
   Running[Next.Ticket] = {&State, Now, Charged};
@@ -230,9 +366,9 @@
 
 void fair_queue::refuseLate(boot_time Now, decisions &Decisions) {
   std::vector<workspace_state *> States;
-  States.reserve(Backlogged.size());
-  for (const backlog_entry &Entry : Backlogged)
-    States.push_back(Entry.State);
+  for (const auto &[Number, Rank] : Ranks)
+    for (const backlog_entry &Entry : Rank.Backlogged)
+      States.push_back(Entry.State);
   for (workspace_state *State : States)
     refuseLateOf(*State, Now, Decisions);
 }
@@ -245,14 +381,15 @@
   std::erase_if(State.Waiting, [&](waiting_request &Request) {
     if (!isLate(State, Request.Deadline, Now))
       return false;
-    Decisions.push_back(refuseForDeadline(Request));
+    Decisions.push_back(refuseForDeadline(Request, State));
     return true;
   });
   removeFromBacklogIfEmpty(State);
 }
 
-fair_queue::decision fair_queue::refuseForDeadline(waiting_request &Request) {
-  WaitingTickets.erase(Request.Ticket);
+fair_queue::decision fair_queue::refuseForDeadline(waiting_request &Request,
+                                                   workspace_state &State) {
+  takeOut(Request, State);
   ++Counters.RefusedDeadline;
   return {std::move(Request.OnDecision), Request.Ticket,
           common::makeError(error_kind::QueueDeadlineExceeded,
@@ -260,6 +397,7 @@
 }
 
 void fair_queue::setNextStart(workspace_state &State, tag Start) {
+  auto &Backlogged = State.Rank->Backlogged;
   const bool WasBacklogged = Backlogged.erase(entryOf(State)) > 0;
   State.NextStart = Start;
   if (WasBacklogged)
--- a/Source/Core/Admission/FairQueue.h
+++ b/Source/Core/Admission/FairQueue.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -51,6 +52,8 @@
   double Weight = 1;
   /// When the response must be complete.
   common::boot_time Deadline;
+  /// Zero is the most urgent.
+  size_t Rank = 0;
 };
 
 /// Bounds of one queue.
@@ -67,6 +70,9 @@
   double DeadlineMargin = 0.5;
   /// The state of a workspace without requests is removed after this time.
   std::chrono::microseconds IdleLifetime{10000000};
+  /// The part of the grants that waiting ranks get together before the most
+  /// urgent one.
+  double LesserRankShare = 0.1;
 };
 
 /// Totals and gauges of one queue.
@@ -80,12 +86,15 @@
   size_t Workspaces = 0;
 };
 
-/// A bounded queue in front of the slots of one service, fair between
-/// workspaces by start-time fair queueing: the request with the lowest virtual
-/// start time runs next, and a workspace's virtual time advances by the charge
-/// of its requests divided by its weight. Within a workspace the order is first
-/// come, first served. Reads no clock; thread-safe. Hooks run without the lock
-/// held.
+/// A bounded queue in front of the slots of one service. The most urgent rank
+/// runs next, but each waiting rank gets a small part of the grants. Within a
+/// rank the queue is fair between workspaces by start-time fair queueing: the
+/// request with the lowest virtual start time runs next, and a workspace's
+/// virtual time advances by the charge of its requests divided by its weight.
+/// Within a workspace the order is first come, first served. A request that
+/// cannot run in time is refused as soon as that is known. Load pattern: twice
+/// the requests that a service can run, some of them urgent. Reads no clock;
+/// thread-safe. Hooks run without the lock held.
 class fair_queue {
 public:
   /// Receives the decision on a request: ok when the request may run, QueueFull
@@ -117,6 +126,21 @@
   /// capacity allows. Call it regularly and whenever capacity has grown.
   void advance(common::boot_time Now);
 
+  /// Sets the grants per second that are expected while requests wait. A new
+  /// request is then refused at once if its turn would come too late for its
+  /// deadline. Zero: unknown, so that no turn is expected.
+  void setPace(double GrantsPerSecond);
+
+  /// The time until a new request of \p Rank would be granted; zero if the pace
+  /// is unknown.
+  std::chrono::microseconds expectedWait(size_t Rank) const;
+
+  /// Waiting requests that are granted before a new one of \p Rank.
+  size_t waitingAhead(size_t Rank) const;
+
+  /// The usual time for which a request holds a slot.
+  std::chrono::microseconds slotTime() const;
+
   /// Replaces the bounds; requests that already wait beyond them stay.
   void configure(const fair_queue_options &Changed);
 
@@ -131,7 +155,11 @@
     decision_hook OnDecision;
   };
 
+  struct rank_state;
+
+  /// The requests of one workspace and rank.
   struct workspace_state {
+    rank_state *Rank = nullptr;
     /// Breaks ties between equal tags in the order of first use.
     uint64_t Number = 0;
     double Weight = 1;
@@ -154,6 +182,19 @@
     }
   };
 
+  struct rank_state {
+    /// Zero is the most urgent.
+    size_t Number = 0;
+    /// Workspaces with waiting requests, by the start of the next one.
+    absl::btree_set<backlog_entry> Backlogged;
+    tag VirtualTime = 0;
+    size_t Waiting = 0;
+    /// Guaranteed grants that it has not had yet.
+    double Credit = 0;
+    /// Its smoothed part of the grants.
+    double GrantedPart = 0;
+  };
+
   struct running_request {
     workspace_state *Workspace;
     common::boot_time Granted;
@@ -173,7 +214,7 @@
     return {State.NextStart, State.Number, &State};
   }
 
-  workspace_state &stateOf(std::string_view Name, double Weight)
+  workspace_state &stateOf(const admission_request &Request)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void enqueue(workspace_state &State, waiting_request Request)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
@@ -181,16 +222,36 @@
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   absl::Status makeRoom(const workspace_state &Requester, decisions &Decisions)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
-  workspace_state *longestQueue() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  /// The least urgent rank with waiting requests; null without any.
+  rank_state *leastUrgent() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  /// The rank whose turn it is; null without waiting requests.
+  rank_state *nextRank() ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void countGrant(rank_state &Granted) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  /// Refuses the newest request of the longest queue.
+  void dropNewest(workspace_state &Longest, decisions &Decisions)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  void takeOut(const waiting_request &Request, workspace_state &State)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  absl::Status checkTurn(const workspace_state &State,
+                         const admission_request &Request,
+                         common::boot_time Now)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  size_t aheadOf(size_t Rank) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  /// The expected grants per second of \p Rank, beside those of requests that
+  /// are more urgent and arrive later.
+  double paceOf(size_t Rank) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  std::chrono::microseconds waitOf(size_t Rank) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
+  static workspace_state *longestQueue(const rank_state &Rank);
   void grantWaiting(common::boot_time Now, decisions &Decisions)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
-  void grantNext(common::boot_time Now, decisions &Decisions)
+  void grantNext(rank_state &Rank, common::boot_time Now, decisions &Decisions)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void refuseLate(common::boot_time Now, decisions &Decisions)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void refuseLateOf(workspace_state &State, common::boot_time Now,
                     decisions &Decisions) ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
-  decision refuseForDeadline(waiting_request &Request)
+  decision refuseForDeadline(waiting_request &Request, workspace_state &State)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
   void setNextStart(workspace_state &State, tag Start)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(Mutex);
@@ -206,14 +267,17 @@
 
   mutable absl::Mutex Mutex;
   fair_queue_options Options ABSL_GUARDED_BY(Mutex);
-  absl::flat_hash_map<std::string, std::unique_ptr<workspace_state>>
+  /// By name and rank.
+  absl::flat_hash_map<std::pair<std::string, size_t>,
+                      std::unique_ptr<workspace_state>>
       Workspaces ABSL_GUARDED_BY(Mutex);
-  /// Workspaces with waiting requests, by the start of the next one.
-  absl::btree_set<backlog_entry> Backlogged ABSL_GUARDED_BY(Mutex);
+  /// The most urgent first.
+  std::map<size_t, rank_state> Ranks ABSL_GUARDED_BY(Mutex);
   absl::flat_hash_map<ticket, workspace_state *>
       WaitingTickets ABSL_GUARDED_BY(Mutex);
   absl::flat_hash_map<ticket, running_request> Running ABSL_GUARDED_BY(Mutex);
-  tag VirtualTime ABSL_GUARDED_BY(Mutex) = 0;
+  /// Expected grants per second; zero if unknown.
+  double Pace ABSL_GUARDED_BY(Mutex) = 0;
   /// Smoothed slot time over all workspaces in microseconds.
   double SlotTime ABSL_GUARDED_BY(Mutex);
   common::boot_time LastSweep ABSL_GUARDED_BY(Mutex);
--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -59,6 +59,22 @@
   return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0};
 }
 
+double fleet_budgets::rateOf(uint32_t Key, boot_time Now) const {
+  const auto Found = Budgets.find(Key);
+  if (Found == Budgets.end())
+    return 0;
+  const duration IntervalLength =
+      Settings.Window / static_cast<int64_t>(IntervalCount);
+  const int64_t Current = intervalNumber(Now);
+  double Requests = 0;
+  for (const interval &Interval : Found->second.Window)
+    if (Interval.Number == Current || Interval.Number == Current - 1)
+      Requests += Interval.Requests;
+  const duration Covered =
+      IntervalLength + Now.time_since_epoch() % IntervalLength;
+  return Requests / std::chrono::duration<double>(Covered).count();
+}
+
 double fleet_budgets::requestsAt(const budget &Budget, boot_time Now) const {
   const int64_t Current = intervalNumber(Now);
   double Requests = 0;
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -70,6 +70,9 @@
   /// The statistics of about the last two seconds.
   service_stats statsOf(uint32_t Service, boot_time Now);
 
+  /// Requests per second under \p Key in about the last second.
+  double rateOf(uint32_t Key, boot_time Now) const;
+
   /// Consumes one extra attempt of the budget, if one is left for this
   /// instance.
   budget_decision tryExtraAttempt(uint32_t Service, const fleet_part &Fleet,
--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -461,4 +461,11 @@
   return static_cast<uint32_t>(common::stableHash(Name));
 }
 
+uint32_t rankKey(std::string_view Service, size_t Rank) {
+  std::string Name(Service);
+  Name += '#';
+  Name += std::to_string(Rank);
+  return usageKey(Name);
+}
+
 } // namespace magnolia::fleet
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -222,4 +222,7 @@
 /// The key that identifies a workspace or a service in messages.
 uint32_t usageKey(std::string_view Name);
 
+/// The same for the requests of one rank of a service.
+uint32_t rankKey(std::string_view Service, size_t Rank);
+
 } // namespace magnolia::fleet
--- a/Source/Core/Routing/Configuration.h
+++ b/Source/Core/Routing/Configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,8 +52,8 @@
 struct workspace {
   std::string Name;
   std::vector<std::string> Keys;
-  /// Takes precedence over the route's; zero is the most urgent.
-  int Priority = 0;
+  /// Takes precedence over the route's, if given; zero is the most urgent.
+  std::optional<int> Priority;
   /// Requests per second over the whole fleet; zero: no limit.
   double RatePerSecond = 0;
   double Burst = 0;
--- a/Source/Core/Routing/RouteTable.cpp
+++ b/Source/Core/Routing/RouteTable.cpp
@@ -22,7 +22,7 @@
 }
 
 route_table::route_table(configuration Given)
-    : Configuration(std::move(Given)) {
+    : Configuration(std::move(Given)), Ranks(Configuration) {
   for (const route &Route : Configuration.Routes)
     ByHost[normalizedHost(Route.Host)][Route.Prefix] = &Route;
   for (const workspace &Workspace : Configuration.Workspaces)
--- a/Source/Core/Routing/RouteTable.h
+++ b/Source/Core/Routing/RouteTable.h
@@ -7,6 +7,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include "Routing/Configuration.h"
+#include "Routing/RankTable.h"
 
 namespace magnolia::routing {
 
@@ -24,6 +25,7 @@
   const workspace *workspaceOf(std::string_view Key) const;
 
   const configuration &configurationInForce() const { return Configuration; }
+  const rank_table &ranks() const { return Ranks; }
   uint64_t version() const { return Configuration.Version; }
 
 private:
@@ -32,6 +34,7 @@
   explicit route_table(configuration Configuration);
 
   const configuration Configuration;
+  const rank_table Ranks;
   absl::flat_hash_map<std::string, prefix_map> ByHost;
   absl::flat_hash_map<std::string, const workspace *> ByKey;
 };
--- a/Source/UnitTests/Admission/FairQueueTest.cpp
+++ b/Source/UnitTests/Admission/FairQueueTest.cpp
@@ -300,3 +300,126 @@
     }
   }
 }
+
+namespace {
+
+/// A queue in front of four slots, whose grants are recorded by rank.
+struct ranked_queue {
+  explicit ranked_queue(size_t QueueLimit = 256)
+      : Queue({.QueueLimit = QueueLimit, .Charge = charge_unit::Request},
+              [this] { return Slots; }) {}
+
+  absl::StatusOr<ticket> submit(size_t Rank, milliseconds Now,
+                                milliseconds Timeout,
+                                const std::string &Workspace = "clubs") {
+    return Queue.submit(
+        {Workspace, 1, at(Now + Timeout), Rank}, at(Now),
+        [this, Rank, Workspace](ticket T, const absl::Status &Status) {
+          if (!Status.ok()) {
+            ++Refused[Rank];
+            return;
+          }
+          ++Granted[Rank];
+          ++GrantedTo[Workspace];
+          Running.push_back(T);
+        });
+  }
+
+  void finishOldest(milliseconds Now) {
+    const ticket Oldest = Running.front();
+    Running.erase(Running.begin());
+    Queue.release(Oldest, slot_use::Completed, at(Now));
+  }
+
+  size_t Slots = 4;
+  std::vector<ticket> Running;
+  std::map<size_t, int> Granted;
+  std::map<size_t, int> Refused;
+  std::map<std::string, int> GrantedTo;
+  fair_queue Queue;
+};
+
+} // namespace
+
+TEST_CASE("Twice the requests that four slots can run, for some seconds") {
+  ranked_queue Queue;
+  Queue.Queue.setPace(200);
+  std::map<size_t, int> Asked;
+  std::map<size_t, int> RefusedAtOnce;
+  for (milliseconds Now{0}; Now < milliseconds(5000); Now += milliseconds(5)) {
+    // A slot becomes free every 5 ms; two requests arrive meanwhile, of which
+    // one in four is urgent.
+    if (Queue.Running.size() >= Queue.Slots)
+      Queue.finishOldest(Now);
+    for (const int Arrival : {0, 1}) {
+      const bool Urgent = Arrival == 0 && (Now.count() / 5) % 2 == 0;
+      const size_t Rank = Urgent ? 0 : 1;
+      ++Asked[Rank];
+      const auto Ticket = Queue.submit(Rank, Now, milliseconds(300),
+                                       Arrival == 0 ? "clubs" : "resellers");
+      RefusedAtOnce[Rank] += Ticket.ok() ? 0 : 1;
+    }
+    Queue.Queue.advance(at(Now));
+  }
+  // All urgent ones run, and what is left of the slots goes to the others.
+  CHECK(Queue.Granted[0] == Asked[0]);
+  CHECK(Queue.Granted[1] > Asked[1] / 5);
+  // Those that cannot run in time are told so when they arrive.
+  CHECK(RefusedAtOnce[1] > 10 * Queue.Refused[1]);
+  CHECK(Queue.Granted[0] + Queue.Granted[1] >= 990);
+}
+
+TEST_CASE("Ranks that wait for one slot") {
+  ranked_queue Queue(512);
+  Queue.Slots = 1;
+  milliseconds Now{0};
+  for (int Count = 0; Count < 100; ++Count)
+    for (const size_t Rank : {2, 1, 0})
+      REQUIRE(Queue
+                  .submit(Rank, Now, milliseconds(100000),
+                          Count % 2 == 0 ? "clubs" : "resellers")
+                  .ok());
+  Queue.Granted.clear();
+  Queue.GrantedTo.clear();
+  for (int Count = 0; Count < 60; ++Count)
+    Queue.finishOldest(Now += SlotTime);
+
+  SUBCASE("are granted by urgency, a tenth to the lesser ones") {
+    CHECK(Queue.Granted[0] >= 53);
+    CHECK(Queue.Granted[1] >= 2);
+    CHECK(Queue.Granted[2] >= 2);
+  }
+  SUBCASE("and fairly between workspaces within a rank") {
+    CHECK(std::abs(Queue.GrantedTo["clubs"] - Queue.GrantedTo["resellers"]) <=
+          4);
+  }
+}
+
+TEST_CASE("A full queue with ranks") {
+  ranked_queue Queue(8);
+  Queue.Slots = 0;
+  for (int Count = 0; Count < 8; ++Count)
+    REQUIRE(Queue.submit(1, {}, milliseconds(1000)).ok());
+
+  SUBCASE("refuses a less urgent request for a more urgent one") {
+    CHECK(Queue.submit(0, {}, milliseconds(1000)).ok());
+    CHECK(Queue.Refused[1] == 1);
+    CHECK(Queue.Queue.counters().Waiting == 8);
+  }
+  SUBCASE("refuses a request that is less urgent than those that wait") {
+    CHECK_FALSE(Queue.submit(2, {}, milliseconds(1000)).ok());
+    CHECK(Queue.Refused.empty());
+  }
+}
+
+TEST_CASE("A queue with a known pace tells how long a request waits") {
+  ranked_queue Queue;
+  Queue.Slots = 0;
+  Queue.Queue.setPace(10);
+  REQUIRE(Queue.submit(0, {}, milliseconds(1000)).ok());
+  REQUIRE(Queue.submit(1, {}, milliseconds(1000)).ok());
+  CHECK(Queue.Queue.expectedWait(0) == milliseconds(200));
+  CHECK(Queue.Queue.expectedWait(1) == milliseconds(300));
+  CHECK_FALSE(Queue.submit(1, {}, milliseconds(250)).ok());
+  CHECK(Queue.submit(0, {}, milliseconds(250)).ok());
+}
--- a/Source/UnitTests/Routing/RouteTableTest.cpp
+++ b/Source/UnitTests/Routing/RouteTableTest.cpp
@@ -63,3 +63,55 @@
   CHECK(Table->workspaceOf("nobody's") == nullptr);
   CHECK(Table->workspaceOf("") == nullptr);
 }
+
+TEST_CASE("The ranks of a service") {
+  configuration Configuration;
+  const auto AddRoute = [&](const char *Name, int Priority, bool Public) {
+    route Route;
+    Route.Name = Name;
+    Route.Host = "a.example";
+    Route.Prefix = std::string("/") + Name + "/";
+    Route.Priority = Priority;
+    Route.Public = Public;
+    Route.Parts = {{"shop", 1}};
+    Configuration.Routes.push_back(Route);
+  };
+  AddRoute("order", 1, false);
+  const auto RankOf = [&](size_t Route, const workspace *Workspace) {
+    return rank_table(Configuration)
+        .rankOf("shop", Configuration.Routes[Route], Workspace);
+  };
+  const auto Count = [&] { return rank_table(Configuration).countOf("shop"); };
+
+  SUBCASE("are one if all routes and workspaces have the same priority") {
+    AddRoute("list", 1, false);
+    Configuration.Workspaces = {{"club", {"a"}, 3}, {"team", {"b"}, 3}};
+    CHECK(Count() == 1);
+  }
+  SUBCASE("differ with the routes'") {
+    AddRoute("list", 0, false);
+    Configuration.Workspaces = {{"club", {"a"}, std::nullopt}};
+    CHECK(Count() == 2);
+    CHECK(RankOf(0, &Configuration.Workspaces[0]) == 1);
+    CHECK(RankOf(1, &Configuration.Workspaces[0]) == 0);
+  }
+  SUBCASE("follow the workspace's priority before the route's, also if it is "
+          "zero") {
+    AddRoute("list", 0, false);
+    Configuration.Workspaces = {{"club", {"a"}, 2}, {"team", {"b"}, 0}};
+    CHECK(Count() == 4);
+    CHECK(RankOf(1, &Configuration.Workspaces[1]) == 0);
+    CHECK(RankOf(0, &Configuration.Workspaces[1]) == 1);
+    CHECK(RankOf(1, &Configuration.Workspaces[0]) == 2);
+    CHECK(RankOf(0, &Configuration.Workspaces[0]) == 3);
+  }
+  SUBCASE("are those of the routes where no key is needed") {
+    Configuration.Workspaces = {{"club", {"a"}, 0}};
+    AddRoute("open", 2, true);
+    CHECK(Count() == 2);
+    CHECK(RankOf(1, nullptr) == 1);
+  }
+  SUBCASE("are one for a service without routes") {
+    CHECK(rank_table(Configuration).countOf("other") == 1);
+  }
+}
