Let requests wait by rank in front of a service that is short

Cause: each request that found no target polled alone, so who came by when a slot was free won, whatever its rank, and nothing was refused before it was sent. Change: where the requests of a service differ in rank, each takes a turn (service_queues): at once while there is room, else by rank, within this instance's part of what the fleet admits; refused on arrival if its turn would come too late. Other services are as before.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -29,6 +29,14 @@
       .count();
 }
 
+/// When a caller whose request got no turn may come back.
+std::optional<duration> retryAfterOf(const turn_inputs &Inputs) {
+  constexpr std::chrono::milliseconds Longest{5000};
+  if (Inputs.ExpectedWait <= duration::zero())
+    return std::nullopt;
+  return std::min<duration>(Inputs.ExpectedWait, Longest);
+}
+
 bool contains(const std::vector<placement::target_key> &Keys,
               placement::target_key Key) {
   return std::find(Keys.begin(), Keys.end(), Key) != Keys.end();
@@ -75,7 +83,65 @@
   };
   DeadlineTimer =
       Gateway.Loop.callAfter(timeLeft(), [Self] { Self->onDeadline(); });
-  tryNext();
+  takeRank();
+  requestTurn();
+}
+
+void exchange::takeRank() {
+  if (!Gateway.hasRanks(Service))
+    return;
+  Rank = Routes->ranks().rankOf(Service, *Route, Workspace);
+  Gateway.Fleet->budgets().countRequest(fleet::rankKey(Service, *Rank),
+                                        Gateway.Loop.now());
+}
+
+void exchange::requestTurn() {
+  if (!Rank) {
+    tryNext();
+    return;
+  }
+  const auto Submitted = Gateway.Queues.submit(
+      {.Service = Service,
+       .Workspace = Workspace != nullptr ? std::string_view(Workspace->Name)
+                                         : std::string_view(),
+       .Rank = *Rank,
+       .RankCount = Routes->ranks().countOf(Service),
+       .Deadline = RespondBy,
+       .DeadlineIfShort =
+           std::min(RespondBy, Call->Arrived + Route->LatencyObjective)},
+      [Self = shared_from_this()](admission::ticket Turn,
+                                  const absl::Status &Decision) {
+        Self->Ticket = Turn;
+        Self->onTurn(Decision);
+      });
+  if (!Submitted.ok())
+    onTurn(Submitted.status());
+  else if (!HasTurn && !Done && !Ticket)
+    Ticket = *Submitted;
+}
+
+void exchange::onTurn(const absl::Status &Decision) {
+  Gateway.Loop.cancel(PauseTimer);
+  if (Decision.ok()) {
+    HasTurn = true;
+    tryNext();
+    return;
+  }
+  Ticket.reset();
+  const turn_inputs Inputs = Gateway.Queues.inputsOf(Service, *Rank);
+  logTurnRefused({Id, Service, Decision.message(), Inputs, timeLeft()});
+  refuse(common::kindOf(Decision), common::toStd(Decision.message()),
+         retryAfterOf(Inputs));
+}
+
+void exchange::leaveQueue(admission::slot_use Use) {
+  const auto Left = std::exchange(Ticket, std::nullopt);
+  if (!Left)
+    return;
+  if (std::exchange(HasTurn, false))
+    Gateway.Queues.release(Service, *Left, Use);
+  else
+    Gateway.Queues.cancel(Service, *Left);
 }
 
 void exchange::chooseService() {
@@ -247,6 +313,8 @@
   }
   const placement::target_ref Target = chooseTarget();
   if (Target) {
+    if (Rank)
+      Gateway.Queues.onTargetFound(Service);
     startAttempt(Target);
     return;
   }
@@ -271,11 +339,25 @@
     giveUp(error_kind::NoTargetAvailable, "no target takes requests");
     return;
   }
+  if (Rank && Attempts.empty()) {
+    waitInQueue();
+    return;
+  }
   Unreachable.clear();
   PauseTimer = Gateway.Loop.callAfter(
       TargetPollPeriod, [Self = shared_from_this()] { Self->tryNext(); });
 }
 
+void exchange::waitInQueue() {
+  Gateway.Queues.onTargetMissing(Service);
+  leaveQueue(admission::slot_use::Failed);
+  PauseTimer = Gateway.Loop.callAfter(
+      waitsUntil() - Gateway.Loop.now(), [Self = shared_from_this()] {
+        Self->giveUp(error_kind::NoTargetAvailable, "no target takes requests");
+      });
+  requestTurn();
+}
+
 void exchange::startAttempt(const placement::target_ref &Target) {
   const auto Attempt = std::make_shared<attempt>();
   Attempt->Target = Target;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -57,6 +57,14 @@
   /// down.
   bool checkShutdown();
 
+  // Turns: while its service is short of room, a request may have to wait
+  // before the first attempt.
+  void takeRank();
+  /// Tries a target when it is this request's turn.
+  void requestTurn();
+  void onTurn(const absl::Status &Decision);
+  void leaveQueue(admission::slot_use Use);
+
   // Attempts.
   void tryNext();
   bool mayUseAnotherTarget() const;
@@ -65,6 +73,8 @@
   std::vector<placement::target_key> unusableTargets() const;
   bool hasUntriedTarget() const;
   void waitForTarget();
+  /// The same in the order of the queue.
+  void waitInQueue();
   /// How long it waits until a target is available.
   boot_time waitsUntil() const;
   /// Whether all targets of the service are paused for longer than that.
@@ -138,6 +148,11 @@
   std::vector<placement::target_key> Unreachable;
   std::optional<message::response> TargetError;
   std::optional<uint64_t> Fingerprint;
+  /// Its rank, if the requests of the service differ in it.
+  std::optional<size_t> Rank;
+  /// Its place in the queue of the service, or its turn.
+  std::optional<admission::ticket> Ticket;
+  bool HasTurn = false;
   timer_id DeadlineTimer = 0;
   timer_id PauseTimer = 0;
   bool ReturnedSuccess = false;
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -335,6 +335,8 @@
       observe(*Attempt, evidence::Broken);
     endAttempt(Attempt, false);
   }
+  leaveQueue(ReturnedSuccess ? admission::slot_use::Completed
+                             : admission::slot_use::Failed);
   // The hook owns this object; it is kept until no hook runs.
   Gateway.Loop.retire(
       std::make_shared<std::function<void()>>(std::move(Call->OnDisconnect)));
--- a/Source/Gateway/FleetAgent.cpp
+++ b/Source/Gateway/FleetAgent.cpp
@@ -66,6 +66,7 @@
     Raw->TargetSet.observePeer(Event.Target, Event.Evidence,
                                Now - std::chrono::milliseconds(Event.AgeMs),
                                Now);
+    Raw->Hooks.OnEvent(Event);
   };
   PeerHooks.OnLimit = [Raw](const fleet::limit_report &Report,
                             uint64_t Growth) {
--- a/Source/Gateway/FleetAgent.h
+++ b/Source/Gateway/FleetAgent.h
@@ -58,6 +58,8 @@
                        const fleet::update_message &Update)>
         OnUpdate;
     std::function<void(const fleet::rows_message &Rows)> OnRows;
+    /// A peer told of the outcome of one of its attempts.
+    std::function<void(const fleet::target_event &Event)> OnEvent;
     /// A peer told of a changed limit of a target.
     std::function<void(const fleet::limit_report &Report)> OnLimit;
   };
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -47,7 +47,12 @@
                  return connectTo(Target);
                }),
       Memory(
-          admission::memory_shares::create(Settings.Forward.MaxMessageBytes)) {
+          admission::memory_shares::create(Settings.Forward.MaxMessageBytes)),
+      Queues(Loop, Settings.Queues, Random,
+             {[this](std::string_view Service, size_t RankCount) {
+                return loadOf(Service, RankCount);
+              },
+              [this] { return Fleet->reachablePart().Instances; }}) {
   Memory->OnRoom = [this] {
     if (std::exchange(RoomScheduled, true))
       return;
@@ -125,6 +130,11 @@
                                const fleet::update_message &Update) {
     Store->onUpdate(Peer, Update);
     LostConfiguration->onUpdate(Peer, Update);
+    Queues.onReport();
+  };
+  FleetHooks.OnEvent = [this](const fleet::target_event &Event) {
+    if (const auto Target = TargetSet.find(Event.Target))
+      countOutcome(*Target, Event.Evidence);
   };
   FleetHooks.OnRows = [this](const fleet::rows_message &Rows) {
     Store->applyForwarded(Rows);
@@ -144,6 +154,7 @@
     addRequestSamples(Samples);
     addTargetSamples(Samples);
     addFleetSamples(Samples);
+    addWaitingSamples(Samples);
   });
   return absl::OkStatus();
 }
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -12,9 +12,11 @@
 #include "Common/Metrics.h"
 #include "Fleet/AcceptedConfiguration.h"
 #include "Fleet/LostRequests.h"
+#include "Fleet/SendOutcomes.h"
 #include "Gateway/FleetAgent.h"
 #include "Gateway/HeaderNames.h"
 #include "Gateway/LostConfiguration.h"
+#include "Gateway/ServiceQueues.h"
 #include "Gateway/Settings.h"
 #include "Gateway/Store.h"
 #include "Gateway/StoreSharing.h"
@@ -149,6 +151,15 @@
   void checkEnded(const placement::lost_connection &Lost);
   void onTargetEnded(const placement::lost_connection &Lost,
                      const fleet::ended_run &Run);
+  /// Whether requests of \p Service differ in rank.
+  bool hasRanks(std::string_view Service) const {
+    return Routes && Routes->ranks().countOf(Service) > 1;
+  }
+  /// Counts what a target did with a request of this instance or a peer.
+  void countOutcome(const placement::target &Target,
+                    placement::evidence Evidence);
+  admission::service_load loadOf(std::string_view Service,
+                                 size_t RankCount) const;
   /// Records that a target completed a request with this fingerprint.
   void onCompleted(uint64_t Fingerprint) {
     LostRequests.forget(Fingerprint);
@@ -164,6 +175,7 @@
   void addTargetSamples(std::vector<common::metric_sample> &Samples) const;
   void addFleetSamples(std::vector<common::metric_sample> &Samples) const;
   void addPeerTraffic(std::vector<common::metric_sample> &Samples) const;
+  void addWaitingSamples(std::vector<common::metric_sample> &Samples) const;
 
   event::event_loop &Loop;
   settings Settings;
@@ -178,6 +190,7 @@
   target_pool Pool;
   target_end_check EndCheck;
   fleet::lost_requests LostRequests;
+  fleet::send_outcomes Outcomes;
   /// Of requests and responses, while they are read and until they are sent.
   const std::shared_ptr<admission::memory_shares> Memory;
   std::unique_ptr<fleet_agent> Fleet;
@@ -187,6 +200,8 @@
   std::shared_ptr<const routing::route_table> Routes;
   boot_time RoutesSince;
   routing::split_chooser Splits;
+  /// For services whose requests differ in rank.
+  service_queues Queues;
   std::unique_ptr<message::http_server> CallerServer;
   std::unique_ptr<message::http_server> PeerServer;
   bool TargetsRead = false;
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -118,6 +118,38 @@
   addPeerTraffic(Samples);
 }
 
+void gateway::addWaitingSamples(samples &Samples) const {
+  add(Samples, "magnolia_requests_waiting",
+      "Requests that wait for their turn at a service.",
+      static_cast<double>(Queues.waiting()));
+  const std::vector<rank_counters> &Ranks = Queues.counters();
+  for (size_t Rank = 0; Rank < Ranks.size(); ++Rank)
+    Samples.push_back({"magnolia_turns_refused_total",
+                       "Requests that got no turn, by rank.",
+                       {{"rank", std::to_string(Rank)}},
+                       static_cast<double>(Ranks[Rank].Refused)});
+  for (size_t Rank = 0; Rank < Ranks.size(); ++Rank) {
+    uint64_t Total = 0;
+    for (size_t Bucket = 0; Bucket < Ranks[Rank].Waited.size(); ++Bucket) {
+      Total += Ranks[Rank].Waited.at(Bucket);
+      Samples.push_back(
+          {"magnolia_turn_wait_seconds_bucket_total",
+           "Requests that got a turn after at most this time, by rank.",
+           {{"rank", std::to_string(Rank)},
+            {"le", Bucket < WaitBounds.size()
+                       ? std::to_string(secondsOf(WaitBounds.at(Bucket)))
+                       : "+Inf"}},
+           static_cast<double>(Total)});
+    }
+  }
+  for (const service_queues::short_service &Short : Queues.shortServices())
+    Samples.push_back({"magnolia_service_admitted_per_second",
+                       "Requests admitted over the fleet for a service that "
+                       "is short of room.",
+                       {{"service", Short.Name}},
+                       Short.Admitted});
+}
+
 void gateway::addPeerTraffic(samples &Samples) const {
   const peer_traffic &Traffic = Fleet->traffic();
   constexpr std::array<std::string_view, fleet::AudienceCount> Receivers = {
--- a/Source/Gateway/GatewayTargets.cpp
+++ b/Source/Gateway/GatewayTargets.cpp
@@ -32,6 +32,29 @@
   if (Evidence != placement::evidence::Unreachable)
     Fleet->report(Target, Evidence, SentAt, IsNews);
   logEvidence(RequestId, Target, Evidence, Now - SentAt, Now);
+  countOutcome(Target, Evidence);
+}
+
+void gateway::countOutcome(const placement::target &Target,
+                           placement::evidence Evidence) {
+  if (hasRanks(Target.Entry.Service))
+    Outcomes.count(Target.Entry.Service, Evidence, Loop.now());
+}
+
+admission::service_load gateway::loadOf(std::string_view Service,
+                                        size_t RankCount) const {
+  const boot_time Now = Loop.now();
+  const placement::service_room Room = TargetSet.roomOf(Service, Now);
+  const fleet::send_outcomes::rates Rates = Outcomes.ratesOf(Service, Now);
+  admission::service_load Load;
+  Load.Slots = Room.Slots;
+  Load.FreeSlots = Room.FreeSlots;
+  Load.TakenPerSecond = Rates.Taken;
+  Load.RefusedPerSecond = Rates.Refused;
+  for (size_t Rank = 0; Rank < RankCount; ++Rank)
+    Load.Demand.push_back(
+        Fleet->budgets().rateOf(fleet::rankKey(Service, Rank), Now));
+  return Load;
 }
 
 void gateway::onTargetDraining(std::string_view RequestId,
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "Common/Log.h"
+#include "Common/StringView.h"
 
 namespace magnolia::gateway {
 namespace {
@@ -54,6 +55,24 @@
                {"own_part", Use.OwnPart}});
 }
 
+void logTurnRefused(const turn_refused_record &Line) {
+  const turn_inputs &Inputs = Line.Inputs;
+  common::log(log_level::Info, Component, "turn refused",
+              {{"id", Line.Id},
+               {"service", Line.Service},
+               {"detail", common::toStd(Line.Detail)},
+               {"rank", Inputs.Rank},
+               {"short", Inputs.IsShort ? 1 : 0},
+               {"slots", Inputs.Load.Slots},
+               {"free_slots", Inputs.Load.FreeSlots},
+               {"refused_fraction", rounded(Inputs.Load.refusedFraction())},
+               {"admitted_per_second", rounded(Inputs.AdmittedPerSecond)},
+               {"share", rounded(Inputs.Share)},
+               {"ahead", Inputs.Ahead},
+               {"expected_wait_ms", millis(Inputs.ExpectedWait)},
+               {"left_ms", millis(Line.TimeLeft)}});
+}
+
 void logEvidence(std::string_view Id, const placement::target &Target,
                  placement::evidence Evidence, duration Age, boot_time Now) {
   const bool Good = Evidence == placement::evidence::Succeeded ||
--- a/Source/Gateway/RequestLog.h
+++ b/Source/Gateway/RequestLog.h
@@ -30,6 +30,16 @@
 };
 void logExtraAttempt(const extra_attempt_record &Line);
 
+/// A request that got no turn at its service, and why.
+struct turn_refused_record {
+  std::string_view Id;
+  std::string_view Service;
+  absl::string_view Detail;
+  const turn_inputs &Inputs;
+  duration TimeLeft{0};
+};
+void logTurnRefused(const turn_refused_record &Line);
+
 /// Logs the evidence of an attempt, at its end or while it runs.
 void logEvidence(std::string_view Id, const placement::target &Target,
                  placement::evidence Evidence, duration Age, boot_time Now);
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -12,6 +12,7 @@
 #include "Fleet/RequestQuarantine.h"
 #include "Fleet/TargetLimits.h"
 #include "Fleet/UrgentLimit.h"
+#include "Gateway/ServiceQueues.h"
 #include "Placement/LossFilter.h"
 #include "Placement/ProbePolicy.h"
 #include "Placement/TargetSet.h"
@@ -126,6 +127,7 @@
   follow_settings Follow;
   update_settings Updates;
   shutdown_settings Shutdown;
+  queue_settings Queues;
   fleet::budget_settings Budget;
   fleet::limit_settings Limits;
   fleet::quarantine_settings Quarantine;
