Notice a shortage earlier, and end it only after half a second of calm

Change: bounds of 0.25 refused and 0.45 free, which blind choices do not reach while most slots are free; it begins with the same headroom as it goes on; it ends after 0.5 s without signs of shortage. Measured: AdmissionTests 15 of 15. Bounds of 0.2 and 0.5 failed the check on swinging (4 changes in place of 2).

--- a/Source/Core/Admission/RankThreshold.cpp
+++ b/Source/Core/Admission/RankThreshold.cpp
@@ -48,15 +48,17 @@
 void rank_threshold::begin(const service_load &Load, boot_time Now) {
   Short = true;
   ShortSince = Now;
+  LastPressed = Now;
   LastStep = Now;
   const double SlotTime = secondsOf(Load.SlotTime);
   const double Possible = SlotTime > 0 ? Load.Slots / SlotTime : 0;
-  Admitted = std::max(Load.TakenPerSecond, Possible);
+  Admitted = std::max(Settings.Headroom * Load.TakenPerSecond, Possible);
 }
 
 void rank_threshold::step(const service_load &Load, boot_time Now) {
   LastStep = Now;
   if (isPressed(Load)) {
+    LastPressed = Now;
     if (Now - ShortSince >= Settings.Settling)
       Admitted = std::min(Admitted, Settings.Headroom * Load.TakenPerSecond);
     Admitted = std::max(Admitted, Settings.MinPerSlot * Load.Slots);
@@ -65,7 +67,8 @@
   Admitted *= Load.freeFraction() > Settings.RoomyFraction
                   ? Settings.RoomyGrowth
                   : Settings.Growth;
-  if (Admitted >= Settings.ReopenAt * sumOf(Load.Demand))
+  if (Now - LastPressed >= Settings.Settling &&
+      Admitted >= Settings.ReopenAt * sumOf(Load.Demand))
     Short = false;
 }
 
--- a/Source/Core/Admission/RankThreshold.h
+++ b/Source/Core/Admission/RankThreshold.h
@@ -36,8 +36,8 @@
   double UsedUpFraction = 0.03;
   /// Use by others is known late, so a service whose slots are all in use shows
   /// up to this fraction as free. It is short if its targets refuse requests.
-  double TightFraction = 0.4;
-  double RefusedFraction = 0.35;
+  double TightFraction = 0.45;
+  double RefusedFraction = 0.25;
   /// Part of the admitted requests that lesser ranks get together, as far as
   /// they ask for it.
   double LesserRankShare = 0.1;
@@ -54,7 +54,8 @@
   double Growth = 1.04;
   double RoomyGrowth = 1.15;
   double RoomyFraction = 0.6;
-  /// The shortage ends when this many times the demand is admitted.
+  /// The shortage ends when this many times the demand is admitted and nothing
+  /// has shown it for as long as Settling.
   double ReopenAt = 1.25;
   /// Least admitted rate for each slot, in requests per second.
   double MinPerSlot = 0.1;
@@ -97,6 +98,8 @@
   /// By rank.
   std::vector<double> Shares;
   common::boot_time ShortSince;
+  /// When the load last showed the shortage.
+  common::boot_time LastPressed;
   common::boot_time LastStep;
 };
 
