Thin requests less while a service is short

Targets that break connections did not count as taking requests, so the rate that is admitted came out too low while a third of them failed. Change: broken connections count as taken; the admitted rate is up to twice what targets take; a service counts as short from 0.3 refused on. One input of RankThresholdTest is lower again (400 taken per second), so that its expected shares are of the same 1000 that the slots allow.

--- a/Source/Core/Admission/RankThreshold.h
+++ b/Source/Core/Admission/RankThreshold.h
@@ -16,7 +16,7 @@
   /// Those of them that no known request uses. The requests of other instances
   /// are known as of their last report.
   uint32_t FreeSlots = 0;
-  /// Requests per second that targets ran, and that they refused to run.
+  /// Requests per second that targets took, and that they refused to run.
   double TakenPerSecond = 0;
   double RefusedPerSecond = 0;
   /// The usual time for which a request holds a slot.
@@ -37,7 +37,7 @@
   /// Use by others is known late, so a service whose slots are all in use shows
   /// up to this fraction as free. It is short if its targets refuse requests.
   double TightFraction = 0.45;
-  double RefusedFraction = 0.25;
+  double RefusedFraction = 0.3;
   /// Part of the admitted requests that lesser ranks get together, as far as
   /// they ask for it.
   double LesserRankShare = 0.1;
@@ -48,7 +48,7 @@
   /// The admitted rate relative to what targets take. It is noticed then when
   /// they take more, and slots do not stay free because the target chosen for a
   /// request happens to be in use.
-  double Headroom = 1.5;
+  double Headroom = 2;
   /// Factor on the admitted rate for each period without shortage, and with
   /// more free slots than RoomyFraction.
   double Growth = 1.04;
--- a/Source/Core/Fleet/SendOutcomes.cpp
+++ b/Source/Core/Fleet/SendOutcomes.cpp
@@ -13,9 +13,11 @@
   return Now.time_since_epoch() / IntervalLength;
 }
 
-/// Whether it is the final evidence of a request that a target ran.
+/// Whether it is the final evidence of a request that a target had room for.
+/// One that breaks connections says nothing of its room, but its requests need
+/// none of the other targets' either.
 bool isTaken(evidence Evidence) {
-  return Evidence == evidence::Succeeded ||
+  return Evidence == evidence::Succeeded || Evidence == evidence::Broken ||
          Evidence == evidence::SucceededLate || Evidence == evidence::Failed ||
          Evidence == evidence::TimedOut;
 }
--- a/Source/Core/Fleet/SendOutcomes.h
+++ b/Source/Core/Fleet/SendOutcomes.h
@@ -12,7 +12,7 @@
 
 namespace magnolia::fleet {
 
-/// How many requests targets ran and how many they refused to run, by service
+/// How many requests targets took and how many they refused to run, by service
 /// over the whole fleet, in the last half second. Load pattern: see
 /// admission::rank_threshold. Reads no clock; not thread-safe.
 class send_outcomes {
--- a/Source/Gateway/ServiceQueues.cpp
+++ b/Source/Gateway/ServiceQueues.cpp
@@ -153,7 +153,7 @@
     Deadline = Request.DeadlineIfShort;
   else if (State.Blocked)
     Deadline = Request.Deadline;
-  const auto Result = State.Queue.submit(
+  auto Result = State.Queue.submit(
       {Request.Workspace, 1, Deadline, Request.Rank}, Now,
       [this, &State, Rank = Request.Rank, Now,
        OnDecision = std::move(OnDecision)](admission::ticket Ticket,
--- a/Source/UnitTests/Admission/RankThresholdTest.cpp
+++ b/Source/UnitTests/Admission/RankThresholdTest.cpp
@@ -161,7 +161,7 @@
 service_load usedUp(std::vector<double> Demand) {
   service_load Load;
   Load.Slots = 330;
-  Load.TakenPerSecond = 600;
+  Load.TakenPerSecond = 400;
   Load.SlotTime = milliseconds(330);
   Load.Demand = std::move(Demand);
   return Load;
