--- a/Source/Core/Routing/RouteTable.h
+++ b/Source/Core/Routing/RouteTable.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_set.h>
 
 #include "Routing/Configuration.h"
+#include "Routing/RankTable.h"
 
 namespace magnolia::routing {
 
@@ -32,6 +33,7 @@
   const service *serviceOf(std::string_view Name) const;
 
   const configuration &configurationInForce() const { return Configuration; }
+  const rank_table &ranks() const { return Ranks; }
   uint64_t version() const { return Configuration.Version; }
 
 private:
@@ -40,6 +42,7 @@
   explicit route_table(configuration Configuration);
 
   const configuration Configuration;
+  const rank_table Ranks;
   absl::flat_hash_map<std::string, prefix_map> ByHost;
   absl::flat_hash_map<std::string, const workspace *> ByKey;
   absl::flat_hash_map<std::string, const service *> ByService;
