Decide on second sends and keep them within a limit over the fleet

Cause: a second send followed a fixed part of the latency objective and only the shared budget of extra attempts, so an operator could not say how much extra work he accepts, and retries could find the budget used up.

The window's counting moves from use_window to sliding_count.

--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -1,5 +1,7 @@
 #include "Fleet/FleetBudgets.h"
 
+#include <algorithm>
+
 namespace magnolia::fleet {
 namespace {
 
@@ -29,6 +31,8 @@
 void fleet_budgets::countRequest(uint32_t Service, boot_time Now) {
   budget &Budget = Budgets[Service];
   intervalAt(Budget, Now).Requests += 1;
+  Budget.SecondSendRequests.add(Settings.SecondSendWindow, 1, Now);
+  ++Budget.Fleet.Requests;
   ++Budget.Requests;
   Budget.Changed.fill(true);
 }
@@ -40,6 +44,20 @@
   Budget.Changed.fill(true);
 }
 
+void fleet_budgets::countTimedSend(uint32_t Service, boot_time Now) {
+  budget &Budget = Budgets[Service];
+  Budget.TimedSends.add(Settings.LateWindow, 1, Now);
+  ++Budget.OwnTimedSends;
+  Budget.Changed.fill(true);
+}
+
+void fleet_budgets::countLateSend(uint32_t Service, boot_time Now) {
+  budget &Budget = Budgets[Service];
+  Budget.LateSends.add(Settings.LateWindow, 1, Now);
+  ++Budget.OwnLateSends;
+  Budget.Changed.fill(true);
+}
+
 service_stats fleet_budgets::statsOf(uint32_t Service, boot_time Now) {
   budget &Budget = Budgets[Service];
   const int64_t Current = intervalAt(Budget, Now).Number;
@@ -56,7 +74,10 @@
                                     static_cast<int64_t>(IntervalCount) *
                                     StatsIntervals)
           .count();
-  return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0};
+  const double Timed = Budget.TimedSends.sumAt(Settings.LateWindow, Now);
+  const double Late = Budget.LateSends.sumAt(Settings.LateWindow, Now);
+  return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0,
+          Timed > 0 ? std::min(1.0, Late / Timed) : 0};
 }
 
 double fleet_budgets::requestsAt(const budget &Budget, boot_time Now) const {
@@ -103,6 +124,57 @@
   return {Requests, Use};
 }
 
+double fleet_budgets::secondSendBound(double Requests, const fleet_part &Fleet,
+                                      boot_time Now) const {
+  if (!SecondSendLimit || SecondSendLimit->Share <= 0)
+    return 0;
+  // The second sends of its predecessors are unknown to an instance that has
+  // just started.
+  const double Allowance =
+      Now - Started < Settings.SecondSendWindow
+          ? SecondSendLimit->Allowance * Settings.FirstWindowSlackFraction
+          : SecondSendLimit->Allowance;
+  return Settings.UsableFraction *
+         (SecondSendLimit->Share * Requests + Allowance * Fleet.Reachable);
+}
+
+bool fleet_budgets::leavesRetries(const use_decision &Use) const {
+  const double Usable = 1 - Settings.RetryReserve;
+  const auto Own = static_cast<double>(Use.Unreported);
+  return Use.Used + 1 <= Usable * Use.Bound && Own + 1 <= Usable * Use.OwnPart;
+}
+
+second_send_budget fleet_budgets::trySecondSend(uint32_t Service,
+                                                const fleet_part &Fleet,
+                                                boot_time Now) {
+  budget &Budget = Budgets[Service];
+  second_send_budget Decision;
+  Decision.Requests =
+      Budget.SecondSendRequests.sumAt(Settings.SecondSendWindow, Now);
+  const double Limit = secondSendBound(Decision.Requests, Fleet, Now);
+  const double Shared = boundFor(requestsAt(Budget, Now), Fleet, Now);
+  Decision.Limit =
+      Budget.SecondSends.decide(SecondSendUses, Service, Limit, Fleet, Now);
+  Decision.Shared =
+      Budget.ExtraAttempts.decide(Uses, Service, Shared, Fleet, Now);
+  Decision.LeavesRetries = leavesRetries(Decision.Shared);
+  Decision.Granted = Decision.Limit.Granted && Decision.LeavesRetries;
+  if (!Decision.Granted)
+    return Decision;
+  Budget.SecondSends.tryUse(SecondSendUses, Service, Limit, Fleet, Now);
+  Budget.ExtraAttempts.tryUse(Uses, Service, Shared, Fleet, Now);
+  ++Budget.OwnSecondSends;
+  ++Budget.OwnExtraAttempts;
+  ++Budget.Fleet.SecondSends;
+  Budget.Changed.fill(true);
+  return Decision;
+}
+
+fleet_budgets::fleet_totals fleet_budgets::totalsOf(uint32_t Service) const {
+  const auto Found = Budgets.find(Service);
+  return Found == Budgets.end() ? fleet_totals() : Found->second.Fleet;
+}
+
 void fleet_budgets::chargePeers(const service_total &Growth, boot_time Now) {
   budget &Budget = Budgets[Growth.Key];
   Budget.ExtraAttempts.chargePeers(
@@ -110,6 +182,16 @@
   interval &Interval = intervalAt(Budget, Now);
   Interval.Requests += static_cast<double>(Growth.Requests);
   Interval.Failed += static_cast<double>(Growth.Failed);
+  Budget.SecondSends.chargePeers(SecondSendUses,
+                                 static_cast<double>(Growth.SecondSends), Now);
+  Budget.SecondSendRequests.add(Settings.SecondSendWindow,
+                                static_cast<double>(Growth.Requests), Now);
+  Budget.TimedSends.add(Settings.LateWindow,
+                        static_cast<double>(Growth.TimedSends), Now);
+  Budget.LateSends.add(Settings.LateWindow,
+                       static_cast<double>(Growth.LateSends), Now);
+  Budget.Fleet.Requests += Growth.Requests;
+  Budget.Fleet.SecondSends += Growth.SecondSends;
 }
 
 std::vector<service_total> fleet_budgets::collectTotals(audience Audience,
@@ -120,8 +202,9 @@
     if (Budget.Requests == 0 || (!Everything && !Changed))
       continue;
     Changed = false;
-    Totals.push_back(
-        {Key, Budget.Requests, Budget.OwnExtraAttempts, Budget.Failed});
+    Totals.push_back({Key, Budget.Requests, Budget.OwnExtraAttempts,
+                      Budget.Failed, Budget.OwnSecondSends,
+                      Budget.OwnTimedSends, Budget.OwnLateSends});
   }
   return Totals;
 }
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -11,6 +12,18 @@
 
 namespace magnolia::fleet {
 
+/// An operator's limit on the second sends of each service over the whole
+/// fleet.
+struct second_send_limit {
+  /// Second sends for each request in the window; zero allows none at all.
+  double Share = 0;
+  /// Second sends in the window in addition to those.
+  double Allowance = 5;
+
+  friend bool operator==(const second_send_limit &,
+                         const second_send_limit &) = default;
+};
+
 /// Bounds on extra attempts (retries and hedges) to a service, over the whole
 /// fleet.
 struct budget_settings {
@@ -28,6 +41,16 @@
   /// attempts of its predecessors still count in that window and are unknown to
   /// it.
   double FirstWindowSlackFraction = 0.2;
+  /// Without it, second sends have no limit but that of all extra attempts.
+  std::optional<second_send_limit> SecondSends = std::nullopt;
+  /// A longer window leaves more to divide among the instances, so that a fleet
+  /// with few second sends can use them where they are wanted.
+  duration SecondSendWindow = std::chrono::seconds(30);
+  /// The fraction of the bound on extra attempts, and of an instance's part of
+  /// it, that second sends within an operator's limit leave to retries.
+  double RetryReserve = 0.5;
+  /// Window of service_stats::LateFraction.
+  duration LateWindow = std::chrono::seconds(2);
 };
 
 /// A service's recent requests over the whole fleet.
@@ -36,6 +59,9 @@
   double Rate = 0;
   /// The fraction of them that ended without success.
   double FailedFraction = 0;
+  /// The fraction of the sends that took longer than usual, of those whose
+  /// usual latency was known.
+  double LateFraction = 0;
 };
 
 /// The result of fleet_budgets::tryExtraAttempt() and what it was decided on.
@@ -46,6 +72,19 @@
   use_decision Use;
 };
 
+/// The result of fleet_budgets::trySecondSend() and what it was decided on.
+struct second_send_budget {
+  bool Granted = false;
+  /// Requests of the fleet in the window of second sends.
+  double Requests = 0;
+  /// Second sends, and the operator's limit with these requests.
+  use_decision Limit;
+  /// All extra attempts.
+  use_decision Shared;
+  /// Whether the reserve for retries stays untouched.
+  bool LeavesRetries = false;
+};
+
 /// The budget for extra attempts of each service, in a sliding window of the
 /// fleet's totals, and the fraction of requests that fail. What is left of the
 /// budget is divided among the instances for the time in which their attempts
@@ -61,12 +100,20 @@
                          uint64_t Instance = 0)
       : Settings(Settings), Uses{Settings.Window, Settings.ReportTime,
                                  Instance},
-        Started(Started) {}
+        SecondSendUses{Settings.SecondSendWindow, Settings.ReportTime,
+                       Instance},
+        Started(Started), SecondSendLimit(Settings.SecondSends) {}
 
   void countRequest(uint32_t Service, boot_time Now);
 
   void countFailed(uint32_t Service, boot_time Now);
 
+  /// Counts a send whose usual latency is known.
+  void countTimedSend(uint32_t Service, boot_time Now);
+
+  /// Counts a send that takes longer than is usual.
+  void countLateSend(uint32_t Service, boot_time Now);
+
   /// The statistics of about the last two seconds.
   service_stats statsOf(uint32_t Service, boot_time Now);
 
@@ -75,6 +122,27 @@
   budget_decision tryExtraAttempt(uint32_t Service, const fleet_part &Fleet,
                                   boot_time Now);
 
+  /// Changes the operator's limit on second sends.
+  void limitSecondSends(const std::optional<second_send_limit> &Limit) {
+    SecondSendLimit = Limit;
+  }
+  const std::optional<second_send_limit> &secondSendLimit() const {
+    return SecondSendLimit;
+  }
+
+  /// Consumes one second send of the operator's limit and of the budget of
+  /// extra attempts, if both have one left for this instance. Load pattern: a
+  /// few requests at each of many instances take long at the same moment.
+  second_send_budget trySecondSend(uint32_t Service, const fleet_part &Fleet,
+                                   boot_time Now);
+
+  /// Totals of the fleet since this instance's start, as known to it.
+  struct fleet_totals {
+    uint64_t Requests = 0;
+    uint64_t SecondSends = 0;
+  };
+  fleet_totals totalsOf(uint32_t Service) const;
+
   /// How much of the budget of a service is used.
   struct budget_state {
     /// Extra attempts per second that the budget allows over the fleet.
@@ -108,11 +176,24 @@
     uint64_t Requests = 0;
     uint64_t OwnExtraAttempts = 0;
     uint64_t Failed = 0;
+    use_window SecondSends;
+    /// Requests in the window of second sends.
+    sliding_count SecondSendRequests;
+    sliding_count TimedSends;
+    sliding_count LateSends;
+    uint64_t OwnSecondSends = 0;
+    uint64_t OwnTimedSends = 0;
+    uint64_t OwnLateSends = 0;
+    fleet_totals Fleet;
     std::array<bool, AudienceCount> Changed{};
   };
 
   /// Requests in the window that ends at \p Now.
   double requestsAt(const budget &Budget, boot_time Now) const;
+  bool leavesRetries(const use_decision &Use) const;
+  /// The number of second sends that \p Requests allow.
+  double secondSendBound(double Requests, const fleet_part &Fleet,
+                         boot_time Now) const;
   /// The number of extra attempts that \p Requests allow.
   double boundFor(double Requests, const fleet_part &Fleet,
                   boot_time Now) const;
@@ -121,7 +202,9 @@
 
   const budget_settings Settings;
   const use_settings Uses;
+  const use_settings SecondSendUses;
   const boot_time Started;
+  std::optional<second_send_limit> SecondSendLimit;
   absl::flat_hash_map<uint32_t, budget> Budgets;
 };
 
--- a/Source/Core/Fleet/FleetMessage.cpp
+++ b/Source/Core/Fleet/FleetMessage.cpp
@@ -40,12 +40,22 @@
 
 json toJson(const std::vector<service_total> &Totals) {
   json Flat = json::array();
+  json SecondSends = json::array();
   for (const service_total &Total : Totals) {
     Flat.push_back(Total.Key);
     Flat.push_back(Total.Requests);
     Flat.push_back(Total.ExtraAttempts);
     Flat.push_back(Total.Failed);
+    if (Total.TimedSends == 0 && Total.SecondSends == 0)
+      continue;
+    SecondSends.push_back(Total.Key);
+    SecondSends.push_back(Total.SecondSends);
+    SecondSends.push_back(Total.TimedSends);
+    SecondSends.push_back(Total.LateSends);
   }
+  // Versions before these counts ignore what is left of an incomplete group.
+  if (!SecondSends.empty())
+    Flat.push_back(std::move(SecondSends));
   return Flat;
 }
 
@@ -249,12 +259,29 @@
   return Totals;
 }
 
+/// Adds the counts of second sends to the totals of the same service.
+void addSecondSends(const json &Flat, std::vector<service_total> &Totals) {
+  for (size_t Index = 0; Index + 3 < Flat.size(); Index += 4) {
+    const auto Key = Flat[Index].get<uint32_t>();
+    const auto Total = std::find_if(
+        Totals.begin(), Totals.end(),
+        [&](const service_total &Each) { return Each.Key == Key; });
+    if (Total == Totals.end())
+      continue;
+    Total->SecondSends = Flat[Index + 1].get<uint64_t>();
+    Total->TimedSends = Flat[Index + 2].get<uint64_t>();
+    Total->LateSends = Flat[Index + 3].get<uint64_t>();
+  }
+}
+
 std::vector<service_total> servicesFrom(const json &Flat) {
   std::vector<service_total> Totals;
   for (size_t Index = 0; Index + 3 < Flat.size(); Index += 4)
     Totals.push_back(
         {Flat[Index].get<uint32_t>(), Flat[Index + 1].get<uint64_t>(),
          Flat[Index + 2].get<uint64_t>(), Flat[Index + 3].get<uint64_t>()});
+  if (!Flat.empty() && Flat.back().is_array())
+    addSecondSends(Flat.back(), Totals);
   return Totals;
 }
 
--- a/Source/Core/Fleet/FleetMessage.h
+++ b/Source/Core/Fleet/FleetMessage.h
@@ -91,6 +91,12 @@
   uint64_t ExtraAttempts = 0;
   /// Requests that ended without success.
   uint64_t Failed = 0;
+  /// Of ExtraAttempts, the second sends within an operator's limit. Senders
+  /// without that limit report this and the next two as zero.
+  uint64_t SecondSends = 0;
+  /// Sends whose usual latency was known, and those of them that took longer.
+  uint64_t TimedSends = 0;
+  uint64_t LateSends = 0;
 };
 
 /// What one attempt revealed about a target.
--- a/Source/Core/Fleet/PeerView.cpp
+++ b/Source/Core/Fleet/PeerView.cpp
@@ -117,11 +117,17 @@
   service_total &Known = Found->second;
   // A message that arrives after a later one has lower totals.
   if (Total.Requests < Known.Requests ||
-      Total.ExtraAttempts < Known.ExtraAttempts || Total.Failed < Known.Failed)
+      Total.ExtraAttempts < Known.ExtraAttempts ||
+      Total.Failed < Known.Failed || Total.SecondSends < Known.SecondSends ||
+      Total.TimedSends < Known.TimedSends || Total.LateSends < Known.LateSends)
     return;
-  const service_total Growth = {Total.Key, Total.Requests - Known.Requests,
+  const service_total Growth = {Total.Key,
+                                Total.Requests - Known.Requests,
                                 Total.ExtraAttempts - Known.ExtraAttempts,
-                                Total.Failed - Known.Failed};
+                                Total.Failed - Known.Failed,
+                                Total.SecondSends - Known.SecondSends,
+                                Total.TimedSends - Known.TimedSends,
+                                Total.LateSends - Known.LateSends};
   Known = Total;
   // The first total of a peer that started earlier covers its whole run.
   if (Charged && !(First && Peer.StartedEarlier))
--- a/Source/Core/Fleet/UseWindow.cpp
+++ b/Source/Core/Fleet/UseWindow.cpp
@@ -30,34 +30,13 @@
 
 } // namespace
 
-int64_t use_window::intervalNumber(const use_settings &Settings,
-                                   boot_time Now) {
-  return Now.time_since_epoch() /
-         (Settings.Window / static_cast<int64_t>(IntervalCount));
-}
-
-use_window::interval &use_window::intervalAt(const use_settings &Settings,
-                                             boot_time Now) {
-  const int64_t Number = intervalNumber(Settings, Now);
-  interval &Interval =
-      Intervals.at(static_cast<size_t>(Number) % IntervalCount);
-  if (Interval.Number != Number)
-    Interval = {Number, 0};
-  return Interval;
-}
-
 double use_window::usedAt(const use_settings &Settings, boot_time Now) const {
-  const int64_t Current = intervalNumber(Settings, Now);
-  double Used = 0;
-  for (const interval &Interval : Intervals)
-    if (Interval.Number + static_cast<int64_t>(IntervalCount) > Current)
-      Used += Interval.Uses;
-  return Used;
+  return Uses.sumAt(Settings.Window, Now);
 }
 
-void use_window::chargePeers(const use_settings &Settings, double Uses,
+void use_window::chargePeers(const use_settings &Settings, double PeerUses,
                              boot_time Now) {
-  intervalAt(Settings, Now).Uses += Uses;
+  Uses.add(Settings.Window, PeerUses, Now);
 }
 
 use_decision use_window::decide(const use_settings &Settings, uint32_t Key,
@@ -84,7 +63,7 @@
     Unreported.pop_front();
   const use_decision Decision = decide(Settings, Key, Bound, Fleet, Now);
   if (Decision.Granted) {
-    intervalAt(Settings, Now).Uses += 1;
+    Uses.add(Settings.Window, 1, Now);
     Unreported.push_back(Now);
   }
   return Decision;
--- a/Source/Core/Fleet/UseWindow.h
+++ b/Source/Core/Fleet/UseWindow.h
@@ -1,17 +1,13 @@
 #pragma once
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 
-#include "Common/Time.h"
+#include "Fleet/SlidingCount.h"
 
 namespace magnolia::fleet {
 
-using common::boot_time;
-using duration = common::boot_clock::duration;
-
 /// The part of the fleet that an instance knows.
 struct fleet_part {
   /// The fraction of the fleet whose use is known here.
@@ -60,24 +56,14 @@
                       const fleet_part &Fleet, boot_time Now);
 
   /// Counts uses of peers.
-  void chargePeers(const use_settings &Settings, double Uses, boot_time Now);
+  void chargePeers(const use_settings &Settings, double PeerUses,
+                   boot_time Now);
 
   /// Uses of the fleet in the window that ends at \p Now.
   double usedAt(const use_settings &Settings, boot_time Now) const;
 
 private:
-  /// Number of intervals that the window is divided into.
-  static constexpr size_t IntervalCount = 20;
-
-  struct interval {
-    int64_t Number = -1;
-    double Uses = 0;
-  };
-
-  static int64_t intervalNumber(const use_settings &Settings, boot_time Now);
-  interval &intervalAt(const use_settings &Settings, boot_time Now);
-
-  std::array<interval, IntervalCount> Intervals;
+  sliding_count Uses;
   /// Times of own uses that peers may not know of yet.
   std::deque<boot_time> Unreported;
 };
--- a/Source/Core/Request/AttemptPlan.cpp
+++ b/Source/Core/Request/AttemptPlan.cpp
@@ -104,20 +104,31 @@
   return Hooks.TrySpendRetry && Hooks.TrySpendRetry();
 }
 
+second_send_state attempt_plan::secondSendState(boot_time Now) const {
+  const auto Micros = [](common::boot_clock::duration Duration) {
+    return std::chrono::duration_cast<std::chrono::microseconds>(Duration);
+  };
+  second_send_state State;
+  State.Repeatable = Traits.Repeatable;
+  State.HasOtherTarget =
+      !HedgeRefused && !Refusal && Attempts.size() < Settings.AttemptLimit;
+  if (Hooks.HedgeDelay && State.Repeatable && State.HasOtherTarget)
+    State.Delay = Hooks.HedgeDelay();
+  if (State.Delay)
+    State.Delay = std::max<std::chrono::microseconds>(*State.Delay,
+                                                      Settings.MinHedgeDelay);
+  State.Waited = Micros(Now - Attempts.back().Started);
+  State.TimeLeft = Micros(attemptDeadline() - Now);
+  return State;
+}
+
 bool attempt_plan::mayHedge(boot_time Now, attempt_step &Step) {
-  if (!Traits.Repeatable || HedgeRefused || Refusal ||
-      Attempts.size() >= Settings.AttemptLimit || !Hooks.HedgeDelay)
-    return false;
-  const auto Delay = Hooks.HedgeDelay();
-  if (!Delay)
+  const second_send_state State = secondSendState(Now);
+  const second_send_reason Decision = decideSecondSend({}, State);
+  if (Decision == second_send_reason::TooEarly)
+    Step.WakeAt = std::min(Step.WakeAt, Attempts.back().Started + *State.Delay);
+  if (Decision != second_send_reason::Start)
     return false;
-  const boot_time Due =
-      Attempts.back().Started +
-      std::max<std::chrono::microseconds>(*Delay, Settings.MinHedgeDelay);
-  if (Now < Due) {
-    Step.WakeAt = std::min(Step.WakeAt, Due);
-    return false;
-  }
   HedgeRefused = !Hooks.TrySpendRetry || !Hooks.TrySpendRetry();
   return !HedgeRefused;
 }
--- a/Source/Core/Request/AttemptPlan.h
+++ b/Source/Core/Request/AttemptPlan.h
@@ -9,6 +9,7 @@
 #include "Common/ErrorKind.h"
 #include "Common/Time.h"
 #include "Request/Outcome.h"
+#include "Request/SecondSend.h"
 
 /// Decides how often and when a request is sent to targets, and which result
 /// its caller may get. Uses no sockets, threads or clocks.
@@ -108,6 +109,7 @@
   bool isOver() const;
   bool mayRetry();
   bool lastFailureAllowsRetry() const;
+  second_send_state secondSendState(common::boot_time Now) const;
   bool mayHedge(common::boot_time Now, attempt_step &Step);
   attempt_step startStep() const;
   common::boot_time attemptDeadline() const;
