Limit second sends by a setting, within the service's own latencies

Cause: second sends had no limit of their own and a delay that knew nothing of the service.

Change: second_sends.limit and second_sends.allowance in the settings, checked, in force at once after a reload. With a limit, a request is late after the quantile 1 - limit of its route's recent latencies at this instance, and second_sends decides, logs and counts; exchange sends, cancels and reports what came of it. Without the section nothing changes.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -416,11 +416,25 @@
                                  ? Forward.StalledAtFractionIfHanging
                                  : Forward.StalledAtFraction),
              [Self, Attempt] { Self->onStalled(Attempt); });
-  if (repeatable() && !Hedged)
+  if (Gateway.SecondSends->isLimited())
+    startHedgeTimer(Attempt);
+  else if (repeatable() && !Hedged)
     AddTimer(PartOfObjective(Forward.HedgeAtFraction),
              [Self] { Self->maybeHedge(); });
 }
 
+void exchange::startHedgeTimer(const attempt_ref &Attempt) {
+  const auto Delay = Gateway.SecondSends->delayFor(latencyKey());
+  if (Hedged || !Delay)
+    return;
+  Gateway.SecondSends->onTimedSend(latencyKey());
+  Attempt->Timers.push_back(
+      Gateway.Loop.callAfter(*Delay, [Self = shared_from_this(), Attempt] {
+        if (!Attempt->Ended)
+          Self->hedgeWithinLimit(*Attempt);
+      }));
+}
+
 void exchange::onStalled(const attempt_ref &Attempt) {
   Attempt->Stalled = true;
   observe(*Attempt, evidence::Stalled);
@@ -435,6 +449,25 @@
   tryNext();
 }
 
+void exchange::hedgeWithinLimit(const attempt &Late) {
+  late_request Request;
+  Request.Id = Id;
+  Request.Key = latencyKey();
+  Request.Repeatable = repeatable();
+  Request.HasOtherTarget =
+      !Hedged && mayUseAnotherTarget() && hasUntriedTarget();
+  Request.Waited = Gateway.Loop.now() - Late.SentAt;
+  Request.TimeLeft = timeLeft();
+  if (!Gateway.SecondSends->tryStart(Request))
+    return;
+  Hedged = true;
+  Reason = "second_send";
+  const size_t Before = Attempts.size();
+  tryNext();
+  if (Attempts.size() > Before)
+    SecondSend = Attempts[Before];
+}
+
 bool exchange::tryExtraAttempt(std::string_view Why) {
   const fleet::budget_decision Decision =
       Gateway.Fleet->budgets().tryExtraAttempt(fleet::usageKey(Service),
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -80,7 +80,12 @@
   message::client_hooks hooksOf(const attempt_ref &Attempt);
   void startTimers(const attempt_ref &Attempt);
   void onStalled(const attempt_ref &Attempt);
+  /// Starts the timer of a second send.
+  void startHedgeTimer(const attempt_ref &Attempt);
   void maybeHedge();
+  /// The same within the operator's limit; \p Late: the attempt that takes
+  /// longer than is usual.
+  void hedgeWithinLimit(const attempt &Late);
   /// Whether the budget allows one more attempt, which becomes the reason of
   /// the next choice. \p Why: as in the log.
   bool tryExtraAttempt(std::string_view Why);
@@ -109,6 +114,10 @@
               std::optional<duration> RetryAfter = std::nullopt);
   void forwardResponse(message::response Response);
   void finish();
+  /// Records what the sends of a request that was answered show of latencies,
+  /// and what became of its second send.
+  void settleSecondSend();
+  latency_key latencyKey() const { return {Service, Route->Name}; }
 
   bool repeatable() const {
     return Route->Repeatability == routing::repeatability::Repeatable;
@@ -142,6 +151,10 @@
   timer_id PauseTimer = 0;
   bool ReturnedSuccess = false;
   bool Hedged = false;
+  /// The attempt that a late one caused within the operator's limit.
+  attempt_ref SecondSend;
+  /// The attempt whose response the caller gets.
+  attempt_ref Answered;
   /// Why the next target is chosen; written to the log.
   std::string_view Reason = "first";
   bool Done = false;
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -120,6 +120,7 @@
   observe(*Attempt,
           Attempt->Stalled ? evidence::SucceededLate : evidence::Succeeded);
   endAttempt(Attempt, true);
+  Answered = Attempt;
   forwardResponse(std::move(Response));
 }
 
@@ -319,6 +320,23 @@
   finish();
 }
 
+void exchange::settleSecondSend() {
+  if (!Answered || !Gateway.SecondSends->isLimited())
+    return;
+  const boot_time Now = Gateway.Loop.now();
+  Gateway.SecondSends->addLatency(latencyKey(), Now - Answered->SentAt);
+  if (Answered == SecondSend)
+    Gateway.SecondSends->onWon();
+  for (const attempt_ref &Attempt : Attempts) {
+    if (Attempt->Ended || !Attempt->Sent)
+      continue;
+    Gateway.SecondSends->onCancelled();
+    // It would have taken longer still; a later send shows nothing.
+    if (Attempt->SentAt < Answered->SentAt)
+      Gateway.SecondSends->addLatency(latencyKey(), Now - Attempt->SentAt);
+  }
+}
+
 void exchange::finish() {
   if (Done)
     return;
@@ -328,6 +346,7 @@
                                          Gateway.Loop.now());
   Gateway.Loop.cancel(DeadlineTimer);
   Gateway.Loop.cancel(PauseTimer);
+  settleSecondSend();
   for (const attempt_ref &Attempt : Attempts) {
     // A faster response of another target must not hide what this one does.
     if (!Attempt->Ended && Attempt->Connection &&
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -139,11 +139,13 @@
   if (!Agent.ok())
     return Agent.status();
   Fleet = std::move(*Agent);
+  SecondSends = std::make_unique<second_sends>(Loop, TargetSet, *Fleet);
   shareStore();
   Metrics.addReader([this](std::vector<common::metric_sample> &Samples) {
     addRequestSamples(Samples);
     addTargetSamples(Samples);
     addFleetSamples(Samples);
+    SecondSends->addSamples(Samples);
   });
   return absl::OkStatus();
 }
@@ -151,6 +153,19 @@
 void gateway::reconfigure(const settings &Changed) {
   Settings.Shutdown = Changed.Shutdown;
   Settings.DirectoryTtl = Changed.DirectoryTtl;
+  limitSecondSends(Changed.Budget.SecondSends);
+}
+
+void gateway::limitSecondSends(
+    const std::optional<fleet::second_send_limit> &Limit) {
+  if (Settings.Budget.SecondSends == Limit)
+    return;
+  Settings.Budget.SecondSends = Limit;
+  Fleet->budgets().limitSecondSends(Limit);
+  common::log(log_level::Info, Component, "limit on second sends changed",
+              {{"limited", Limit ? 1 : 0},
+               {"limit", Limit ? Limit->Share : 0},
+               {"allowance", Limit ? Limit->Allowance : 0}});
 }
 
 void gateway::shareStore() {
@@ -199,6 +214,7 @@
     TargetRegistry.advance(storeAvailability(), Loop.now());
     Fleet->limits().advance(Loop.now());
     Fleet->quarantine().advance(Loop.now());
+    SecondSends->advance();
     logFailureMode();
   });
 }
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -15,6 +15,7 @@
 #include "Gateway/FleetAgent.h"
 #include "Gateway/HeaderNames.h"
 #include "Gateway/LostConfiguration.h"
+#include "Gateway/SecondSends.h"
 #include "Gateway/Settings.h"
 #include "Gateway/Store.h"
 #include "Gateway/StoreSharing.h"
@@ -91,7 +92,7 @@
   std::vector<std::string> directory(std::string_view FailureDomain) const;
 
   /// Applies the settings that may change at run time: those of the graceful
-  /// shutdown and the TTL of directory responses.
+  /// shutdown, the TTL of directory responses and the limit on second sends.
   void reconfigure(const settings &Changed);
 
   const settings &settingsInForce() const { return Settings; }
@@ -154,6 +155,8 @@
     LostRequests.forget(Fingerprint);
     Fleet->completeQuarantine(Fingerprint);
   }
+  /// Applies and logs a changed limit on second sends.
+  void limitSecondSends(const std::optional<fleet::second_send_limit> &Limit);
   /// Logs when the belief changes that targets hang.
   void logFailureMode();
   void continueShutdown();
@@ -181,6 +184,7 @@
   /// Of requests and responses, while they are read and until they are sent.
   const std::shared_ptr<admission::memory_shares> Memory;
   std::unique_ptr<fleet_agent> Fleet;
+  std::unique_ptr<second_sends> SecondSends;
   std::unique_ptr<store_sharing> Store;
   fleet::accepted_configuration Accepted;
   std::unique_ptr<lost_configuration> LostConfiguration;
