--- a/Source/UnitTests/Fleet/SecondSendLimitTest.cpp
+++ b/Source/UnitTests/Fleet/SecondSendLimitTest.cpp
@@ -335,7 +335,7 @@
   View.apply(Hello, Now);
   update_message Update;
   Update.Boot = 2;
-  for (const uint64_t Total : {3, 9, 5, 9, 12}) {
+  for (const uint64_t Total : {3U, 9U, 5U, 9U, 12U}) {
     ++Update.Number;
     Update.Services = {{Service, 100, Total, 0, Total, 100, 2 * Total}};
     View.apply(Update, Now);
