Compare the entries of any configuration with one function

Cause: the comparison of two versions knew only manifests. A check of the configuration of the users' platform needs the same one. Change: Common/EntryDiff compares named entries with printed fields; Contract/Diff only prints the entries of a manifest. Lines are as before.

--- a/Source/Core/Platform/ConfigStore.cpp
+++ b/Source/Core/Platform/ConfigStore.cpp
@@ -73,14 +73,14 @@
 std::vector<std::string> auditLines(const configuration &Old,
                                     const configuration &New) {
   std::vector<std::string> Lines;
-  const std::vector<contract::change> Changes = contract::diff(Old, New);
-  for (const contract::change &Change : Changes) {
+  const std::vector<common::entry_change> Changes = contract::diff(Old, New);
+  for (const common::entry_change &Change : Changes) {
     if (Lines.size() == MaxAuditLines) {
       Lines.push_back(
           absl::StrCat("and ", Changes.size() - MaxAuditLines, " more"));
       break;
     }
-    Lines.push_back(contract::toText(Change));
+    Lines.push_back(common::toText(Change));
   }
   return Lines;
 }
--- a/Source/MagnoliaCtl/Commands.cpp
+++ b/Source/MagnoliaCtl/Commands.cpp
@@ -111,8 +111,8 @@
   const auto Changes = contract::diff(Current->Configuration, New);
   *Context.Out << "against version " << Current->Head.Version << ": "
                << Changes.size() << " changes\n";
-  for (const contract::change &Change : Changes)
-    *Context.Out << contract::toText(Change) << "\n";
+  for (const common::entry_change &Change : Changes)
+    *Context.Out << common::toText(Change) << "\n";
   return exit_code::Success;
 }
 
