--- a/Source/Core/Routing/RouteTable.cpp
+++ b/Source/Core/Routing/RouteTable.cpp
@@ -5,7 +5,6 @@
 #include "Common/StringView.h"
 
 namespace magnolia::routing {
-namespace {
 
 using common::toAbsl;
 
@@ -13,8 +12,6 @@
   return absl::AsciiStrToLower(toAbsl(Host.substr(0, Host.find(':'))));
 }
 
-} // namespace
-
 std::shared_ptr<const route_table>
 route_table::build(configuration Configuration) {
   return std::shared_ptr<const route_table>(
--- a/Source/Core/Routing/RouteTable.h
+++ b/Source/Core/Routing/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include <absl/container/flat_hash_map.h>
@@ -10,6 +11,9 @@
 
 namespace magnolia::routing {
 
+/// \p Host without its port and in lower case, as routes are looked up.
+std::string normalizedHost(std::string_view Host);
+
 /// A configuration with indices for the lookup of routes and workspaces.
 /// Immutable.
 class route_table {
