magnoliactl check: what is wrong with a configuration before it is sent

Change: "check FILE [--against FILE|--store ADDRESS]" reads a manifest or the configuration of the platform's store with the code of the instances, makes the named checks and says what differs from another version, as text or JSON. The reader of YAML keeps its errors as values, so that their places are known. A directory given as a file is an error; it was read as an empty file. New check no-route.

--- a/Source/Core/Common/YamlReader.cpp
+++ b/Source/Core/Common/YamlReader.cpp
@@ -64,20 +64,27 @@
 
 void yaml_errors::add(int Line, std::string_view Key,
                       std::string_view Message) {
+  Errors.push_back({Line, std::string(Key), std::string(Message)});
+}
+
+std::string yaml_errors::toText(const yaml_error &Error) const {
   std::string Text = File;
-  if (Line > 0)
-    absl::StrAppend(&Text, ":", Line);
+  if (Error.Line > 0)
+    absl::StrAppend(&Text, ":", Error.Line);
   absl::StrAppend(&Text, ": ");
-  if (!Key.empty())
-    absl::StrAppend(&Text, toAbsl(Key), ": ");
-  absl::StrAppend(&Text, toAbsl(Message));
-  Messages.push_back(std::move(Text));
+  if (!Error.Key.empty())
+    absl::StrAppend(&Text, Error.Key, ": ");
+  absl::StrAppend(&Text, Error.Message);
+  return Text;
 }
 
 absl::Status yaml_errors::status() const {
-  if (Messages.empty())
+  if (Errors.empty())
     return absl::OkStatus();
-  return absl::InvalidArgumentError(absl::StrJoin(Messages, "\n"));
+  return absl::InvalidArgumentError(absl::StrJoin(
+      Errors, "\n", [this](std::string *Text, const yaml_error &Error) {
+        absl::StrAppend(Text, toText(Error));
+      }));
 }
 
 yaml_section::yaml_section(const YAML::Node &Node, std::string Path,
@@ -260,6 +267,10 @@
   std::ifstream File(Path, std::ios::binary);
   if (!File)
     return absl::NotFoundError(absl::StrCat("cannot read ", Path));
+  // A directory can be opened and not read.
+  File.peek();
+  if (File.bad())
+    return absl::NotFoundError(absl::StrCat("cannot read ", Path));
   std::ostringstream Content;
   Content << File.rdbuf();
   return Content.str();
--- a/Source/Core/Common/YamlReader.h
+++ b/Source/Core/Common/YamlReader.h
@@ -20,6 +20,15 @@
 /// that a user sees all of them at once.
 namespace magnolia::common {
 
+/// One error in a document.
+struct yaml_error {
+  /// From one, zero where unknown.
+  int Line = 0;
+  /// Path of the key such as "routes[3].timeout", empty for the document.
+  std::string Key;
+  std::string Message;
+};
+
 /// Collects the errors found while a document is read.
 class yaml_errors {
 public:
@@ -31,9 +40,13 @@
   /// Ok, or one InvalidArgument whose message has a line for each error.
   absl::Status status() const;
 
+  const std::vector<yaml_error> &list() const { return Errors; }
+
 private:
+  std::string toText(const yaml_error &Error) const;
+
   std::string File;
-  std::vector<std::string> Messages;
+  std::vector<yaml_error> Errors;
 };
 
 /// One mapping of a document. Each key read counts as known; finish() reports
--- a/Source/Core/Contract/ManifestParser.cpp
+++ b/Source/Core/Contract/ManifestParser.cpp
@@ -180,9 +180,7 @@
          std::all_of(Name.begin(), Name.end(), IsNameCharacter);
 }
 
-absl::StatusOr<parsed_manifest> parseManifest(std::string_view Text,
-                                              const std::string &File) {
-  yaml_errors Errors(File);
+parsed_manifest parseManifest(std::string_view Text, yaml_errors &Errors) {
   parsed_manifest Parsed;
   manifest &Manifest = Parsed.Manifest;
   name_set Workspaces;
@@ -203,6 +201,13 @@
   } catch (const std::exception &Exception) {
     Errors.add(0, "", Exception.what());
   }
+  return Parsed;
+}
+
+absl::StatusOr<parsed_manifest> parseManifest(std::string_view Text,
+                                              const std::string &File) {
+  yaml_errors Errors(File);
+  parsed_manifest Parsed = parseManifest(Text, Errors);
   if (const absl::Status Status = Errors.status(); !Status.ok())
     return Status;
   return Parsed;
--- a/Source/Core/Contract/ManifestParser.h
+++ b/Source/Core/Contract/ManifestParser.h
@@ -7,6 +7,7 @@
 
 #include <absl/status/statusor.h>
 
+#include "Common/YamlReader.h"
 #include "Contract/Manifest.h"
 
 /// Parser for the YAML manifests written by the operators' pipeline.
@@ -25,6 +26,11 @@
 absl::StatusOr<parsed_manifest> parseManifest(std::string_view Text,
                                               const std::string &File);
 
+/// Parses \p Text and adds every error to \p Errors. The result is valid only
+/// if there are none.
+parsed_manifest parseManifest(std::string_view Text,
+                              common::yaml_errors &Errors);
+
 /// Whether \p Name is a valid name of a workspace, service, target, route or
 /// key: at most 64 letters, digits, '.', '_' and '-', starting with a letter or
 /// digit.
--- a/Source/Core/Routing/ConfigurationCheck.cpp
+++ b/Source/Core/Routing/ConfigurationCheck.cpp
@@ -94,6 +94,11 @@
   reportRepeatedNames(Report, Report.config().Workspaces);
 }
 
+void checkAnyRoute(check_report &Report) {
+  if (Report.config().Routes.empty())
+    Report.add("routes", "", "every request is refused: there is no route");
+}
+
 /// Of two routes with the same host and prefix, the later one gets all
 /// requests.
 void checkShadowedRoutes(check_report &Report) {
@@ -361,6 +366,7 @@
 
 constexpr named_check Checks[] = {
     {"repeated-name", Error, false, "give each entry its own name", checkNames},
+    {"no-route", Warning, true, "add a route", checkAnyRoute},
     {"shadowed-route", Error, false,
      "remove one of the routes or change its prefix", checkShadowedRoutes},
     {"unmatchable-host", Error, false, "correct the host", checkHosts},
--- a/Source/MagnoliaCtl/Commands.cpp
+++ b/Source/MagnoliaCtl/Commands.cpp
@@ -11,6 +11,7 @@
 #include "Contract/Edit.h"
 #include "Contract/ManifestParser.h"
 #include "MagnoliaCtl/Confirmation.h"
+#include "MagnoliaCtl/ManifestFormat.h"
 #include "MagnoliaCtl/Output.h"
 
 namespace magnolia::ctl {
@@ -49,23 +50,6 @@
   return Accepted->Version;
 }
 
-struct loaded_configuration {
-  platform::config_head Head;
-  configuration Configuration;
-};
-
-absl::StatusOr<loaded_configuration>
-loadConfiguration(const command_context &Context) {
-  const config_store Store(Context.Services);
-  const auto Head = Store.readHead();
-  if (!Head.ok())
-    return Head.status();
-  auto Configuration = Store.load(*Head);
-  if (!Configuration.ok())
-    return Configuration.status();
-  return loaded_configuration{*Head, *std::move(Configuration)};
-}
-
 std::string describeState(const instance_view &Instance, uint64_t Version) {
   if (!Instance.HasRow)
     return "never reported";
@@ -103,7 +87,7 @@
   auto Parsed = readManifest(File);
   if (!Parsed.ok())
     return fail(Context, Parsed.status());
-  const auto Current = loadConfiguration(Context);
+  const auto Current = loadConfiguration(Context.Services);
   if (!Current.ok())
     return fail(Context, Current.status());
   configuration New = Current->Configuration;
--- a/Source/MagnoliaCtl/Main.cpp
+++ b/Source/MagnoliaCtl/Main.cpp
@@ -9,9 +9,13 @@
 #include <CLI/CLI.hpp>
 
 #include "Common/Log.h"
+#include "Common/YamlReader.h"
+#include "MagnoliaCtl/Check.h"
 #include "MagnoliaCtl/Commands.h"
 #include "MagnoliaCtl/Explain.h"
+#include "MagnoliaCtl/ManifestFormat.h"
 #include "Net/Platform/PlatformClient.h"
+#include "StoredFormat.h"
 
 using namespace magnolia;
 using program::exit_code;
@@ -20,8 +24,10 @@
 
 constexpr int64_t DefaultWaitMs = 19'000;
 constexpr size_t DefaultAuditEntries = 20;
+constexpr size_t MaxInstanceMemoryMb = 1'000'000;
 
 struct arguments {
+  ctl::check_request Check;
   std::string Platform;
   std::string Actor;
   int64_t WaitMs = DefaultWaitMs;
@@ -86,6 +92,50 @@
   });
 }
 
+/// Manifests come last: they recognize every file.
+std::vector<routing::configuration_format> configurationFormats() {
+  return {adapter::storedFormat(),
+          ctl::manifestFormat([](const std::string &Address) {
+            net::platform_client_options Options;
+            Options.Address = Address;
+            return net::connectPlatform(Options);
+          })};
+}
+
+void addCheckCommand(CLI::App &App, ctl::check_request &Request,
+                     selection &Selection) {
+  CLI::App *Check = App.add_subcommand(
+      "check", "show everything that is wrong with a configuration, for this "
+               "fleet or for the users' platform, before it is sent");
+  Check->add_option("file", Request.File, "manifest, or JSON as in the store")
+      ->required();
+  auto *Against = Check->add_option("--against", Request.Against,
+                                    "file with the version in force");
+  Check
+      ->add_option("--store", Request.Store,
+                   "IP:port of the store with the version in force")
+      ->excludes(Against)
+      ->check([](const std::string &Address) {
+        return common::isAddress(Address) ? "" : "must be IP:port";
+      });
+  Check->add_flag("--json", Request.Json, "print one JSON object");
+  Check->add_flag("--strict", Request.Strict, "treat warnings as errors");
+  Check
+      ->add_option("--fleet-rate", Request.FleetRate,
+                   "requests per second that all targets execute together")
+      ->check(CLI::PositiveNumber);
+  Check
+      ->add_option("--instance-memory", Request.InstanceMemoryMb,
+                   "memory of the smallest instance in MB")
+      ->check(CLI::Range(size_t{1}, MaxInstanceMemoryMb));
+  Check->callback([&] {
+    Selection = {[&](const ctl::command_context &Context) {
+                   return ctl::check(Context, Request, configurationFormats());
+                 },
+                 false};
+  });
+}
+
 void addKeyCommands(CLI::App &App, arguments &Arguments, selection &Selection) {
   CLI::App *Key = App.add_subcommand("key", "issue and revoke callers' keys");
   Key->require_subcommand(1);
@@ -188,6 +238,7 @@
                  "author of the change, recorded in the audit trail")
       ->envname("MAGNOLIA_ACTOR");
   addManifestCommands(App, Arguments, Selection);
+  addCheckCommand(App, Arguments.Check, Selection);
   addKeyCommands(App, Arguments, Selection);
   addReportCommands(App, Arguments, Selection);
   addExplainCommand(App, Arguments, Selection);
--- a/Source/MagnoliaCtl/Output.cpp
+++ b/Source/MagnoliaCtl/Output.cpp
@@ -10,8 +10,7 @@
 
 using program::exit_code;
 
-exit_code fail(const command_context &Context, const absl::Status &Status) {
-  *Context.Error << common::toStd(Status.message()) << "\n";
+exit_code exitCodeOf(const absl::Status &Status) {
   switch (Status.code()) {
   case absl::StatusCode::kInvalidArgument:
   case absl::StatusCode::kNotFound:
@@ -27,6 +26,11 @@
   }
 }
 
+exit_code fail(const command_context &Context, const absl::Status &Status) {
+  *Context.Error << common::toStd(Status.message()) << "\n";
+  return exitCodeOf(Status);
+}
+
 std::string formatTime(common::wall_time Time) {
   return absl::FormatTime("%Y-%m-%dT%H:%M:%SZ", absl::FromChrono(Time),
                           absl::UTCTimeZone());
--- a/Source/MagnoliaCtl/Output.h
+++ b/Source/MagnoliaCtl/Output.h
@@ -9,6 +9,9 @@
 
 namespace magnolia::ctl {
 
+/// The exit code that matches an error.
+program::exit_code exitCodeOf(const absl::Status &Status);
+
 /// Prints the message of \p Status as an error and returns the matching exit
 /// code.
 program::exit_code fail(const command_context &Context,
