--- a/Source/UnitTests/MagnoliaCtl/CheckTest.cpp
+++ b/Source/UnitTests/MagnoliaCtl/CheckTest.cpp
@@ -49,7 +49,7 @@
   ~fixture() { std::filesystem::remove_all(Directory); }
 
   std::string write(const std::string &Name, const std::string &Text) const {
-    const std::string Path = (Directory / Name).string();
+    std::string Path = (Directory / Name).string();
     std::ofstream(Path) << Text;
     return Path;
   }
--- a/Source/UnitTests/Routing/ConfigurationCheckTest.cpp
+++ b/Source/UnitTests/Routing/ConfigurationCheckTest.cpp
@@ -174,7 +174,9 @@
   }
   SUBCASE("finds each mistake once, with its place and a remedy") {
     names Covered;
-    for (const auto &[Name, Mistake] : Mistakes) {
+    for (const auto &Entry : Mistakes) {
+      const std::string &Name = Entry.first;
+      const mistake &Mistake = Entry.second;
       CAPTURE(Name);
       configuration Configuration = validConfiguration();
       Mistake.Make(Configuration);
