--- a/Source/Core/Routing/ConfigurationCheck.cpp
+++ b/Source/Core/Routing/ConfigurationCheck.cpp
@@ -68,7 +68,8 @@
 
 namespace {
 
-/// Largest rank in use anywhere; a larger one is likely a mistake.
+/// A larger rank is likely a mistake: few ranks can be told apart by their
+/// treatment.
 constexpr int MaxRank = 9;
 /// How far the rates of all workspaces may exceed what the targets execute,
 /// since workspaces rarely use their rates at the same time.
--- a/Source/Core/Routing/ConfigurationCheck.h
+++ b/Source/Core/Routing/ConfigurationCheck.h
@@ -16,7 +16,8 @@
 enum class severity : uint8_t {
   /// Probably not what was meant.
   Warning,
-  /// Instances reject the configuration, or requests that it names fail.
+  /// Instances reject the configuration, or requests fail or are treated as
+  /// another route's or workspace's.
   Error,
 };
 
