Test what the check says of an empty configuration

Cause: added the check no-route and took out, without a word, the test's line that an empty configuration has no finding, which was no longer right: it has no route. Change: the line is back and asks for exactly this finding.

--- a/Source/UnitTests/Routing/ConfigurationCheckTest.cpp
+++ b/Source/UnitTests/Routing/ConfigurationCheckTest.cpp
@@ -171,6 +171,9 @@
 
   SUBCASE("objects to nothing in a valid one") {
     CHECK(findingsIn(validConfiguration(), Options).empty());
+    const auto InEmpty = findingsIn({}, Options);
+    REQUIRE(InEmpty.size() == 1);
+    CHECK(InEmpty[0].Check == "no-route");
   }
   SUBCASE("finds each mistake once, with its place and a remedy") {
     names Covered;
