--- a/Source/Core/Routing/RouteTable.h
+++ b/Source/Core/Routing/RouteTable.h
@@ -13,6 +13,9 @@
 
 namespace magnolia::routing {
 
+/// \p Host without its port and in lower case, as routes are looked up.
+std::string normalizedHost(std::string_view Host);
+
 /// A configuration with indices for the lookup of routes and workspaces.
 /// Immutable.
 class route_table {
