--- a/Source/Core/Fleet/ColdTargets.cpp
+++ b/Source/Core/Fleet/ColdTargets.cpp
@@ -43,6 +43,7 @@
   }
   std::sort(Candidates.begin(), Candidates.end());
   std::vector<size_t> Order;
+  Order.reserve(Candidates.size());
   for (const candidate &Candidate : Candidates)
     Order.push_back(Candidate.Index);
   return Order;
--- a/Source/UnitTests/Fleet/ColdTargetsTest.cpp
+++ b/Source/UnitTests/Fleet/ColdTargetsTest.cpp
@@ -110,7 +110,7 @@
   }
 
   void press(size_t Index) {
-    const auto Phase = Now.time_since_epoch() / Step + Index;
+    const auto Phase = Now.time_since_epoch() / Step + static_cast<long>(Index);
     const bool Looks = Phase % (ViewPeriod / Step) == 0;
     if (Looks || !Fleet[Index]->size()) {
       look(Index);
