--- a/Source/Core/Routing/ConfigurationCheck.cpp
+++ b/Source/Core/Routing/ConfigurationCheck.cpp
@@ -316,8 +316,8 @@
     if (IsOdd(Route.Priority))
       Report.add(Route, "priority", Message(Route.Priority));
   for (const workspace &Workspace : Report.config().Workspaces)
-    if (IsOdd(Workspace.Priority))
-      Report.add(Workspace, "priority", Message(Workspace.Priority));
+    if (Workspace.Priority && IsOdd(*Workspace.Priority))
+      Report.add(Workspace, "priority", Message(*Workspace.Priority));
 }
 
 void checkBursts(check_report &Report) {
@@ -365,6 +365,13 @@
 constexpr auto Error = severity::Error;
 constexpr auto Warning = severity::Warning;
 
+void checkWarmups(check_report &Report) {
+  for (const service &Service : Report.config().Services)
+    if (Service.Warmup > duration::zero() && Service.WarmupPerSecond == 0)
+      Report.add(Service, "warmup_per_second",
+                 "targets warm up, but what they take meanwhile is not limited");
+}
+
 constexpr named_check Checks[] = {
     {"repeated-name", Error, false, "give each entry its own name", checkNames},
     {"no-route", Warning, true, "add a route", checkAnyRoute},
@@ -405,6 +412,8 @@
      checkBurstsHaveRates},
     {"rates-above-capacity", Warning, true, "lower the rates or add targets",
      checkRates},
+    {"unlimited-warm-up", Warning, false,
+     "set the requests per second that a cold target takes", checkWarmups},
     {"limits-above-memory", Warning, false,
      "lower the limits or use instances with more memory", checkBodyLimit},
 };
--- a/Source/Core/Routing/ConfigurationEntries.cpp
+++ b/Source/Core/Routing/ConfigurationEntries.cpp
@@ -36,6 +36,13 @@
                       ")");
 }
 
+std::string printRegions(std::vector<std::string> Regions) {
+  if (Regions.empty())
+    return "all";
+  std::sort(Regions.begin(), Regions.end());
+  return absl::StrJoin(Regions, ", ");
+}
+
 entry_group routesOf(const configuration &Configuration) {
   entry_group Group{"route", {}};
   for (const route &Route : Configuration.Routes)
@@ -48,7 +55,8 @@
         {"rank", absl::StrCat(Route.Priority)},
         {"service", printParts(Route.Parts)},
         {"attempts", absl::StrCat(Route.MaxAttempts)},
-        {"public", yesNo(Route.Public)}};
+        {"public", yesNo(Route.Public)},
+        {"home regions", printRegions(Route.HomeRegions)}};
   return Group;
 }
 
@@ -56,7 +64,10 @@
   entry_group Group{"service", {}};
   for (const service &Service : Configuration.Services)
     Group.Entries[Service.Name] = {
-        {"connections of a target", absl::StrCat(Service.MaxConnections)}};
+        {"connections of a target", absl::StrCat(Service.MaxConnections)},
+        {"warm-up", print(Service.Warmup)},
+        {"requests per second while cold",
+         absl::StrCat(Service.WarmupPerSecond)}};
   return Group;
 }
 
@@ -66,8 +77,10 @@
     Group.Entries[Workspace.Name] = {
         {"rate", absl::StrCat(Workspace.RatePerSecond)},
         {"burst", absl::StrCat(Workspace.Burst)},
-        {"rank", absl::StrCat(Workspace.Priority)},
-        {"keys", printKeys(Workspace.Keys)}};
+        {"rank", Workspace.Priority ? absl::StrCat(*Workspace.Priority)
+                                    : std::string("the route's")},
+        {"keys", printKeys(Workspace.Keys)},
+        {"home regions", printRegions(Workspace.HomeRegions)}};
   return Group;
 }
 
