Wait by rank only where the settings ask for it

Change: `waiting.by_rank` in the settings, absent means off; then nothing is counted by rank either.

--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -88,7 +88,7 @@
 }
 
 void exchange::takeRank() {
-  if (!Gateway.hasRanks(Service))
+  if (!Gateway.waitsByRank(Service))
     return;
   Rank = Routes->ranks().rankOf(Service, *Route, Workspace);
   Gateway.Fleet->budgets().countRequest(fleet::rankKey(Service, *Rank),
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -200,9 +200,11 @@
   void checkEnded(const placement::lost_connection &Lost);
   void onTargetEnded(const placement::lost_connection &Lost,
                      const fleet::ended_run &Run);
-  /// Whether requests of \p Service differ in rank.
-  bool hasRanks(std::string_view Service) const {
-    return Routes && Routes->ranks().countOf(Service) > 1;
+  /// Whether requests of \p Service wait by rank: the settings say so and they
+  /// differ in rank.
+  bool waitsByRank(std::string_view Service) const {
+    return Settings.Queues.ByRank && Routes &&
+           Routes->ranks().countOf(Service) > 1;
   }
   /// Counts what a target did with a request of this instance or a peer.
   void countOutcome(const placement::target &Target,
--- a/Source/Gateway/GatewayTargets.cpp
+++ b/Source/Gateway/GatewayTargets.cpp
@@ -40,7 +40,7 @@
 
 void gateway::countOutcome(const placement::target &Target,
                            placement::evidence Evidence) {
-  if (hasRanks(Target.Entry.Service))
+  if (waitsByRank(Target.Entry.Service))
     Outcomes.count(Target.Entry.Service, Evidence, Loop.now());
 }
 
--- a/Source/Gateway/ServiceQueues.h
+++ b/Source/Gateway/ServiceQueues.h
@@ -22,6 +22,8 @@
 
 /// Settings of service_queues.
 struct queue_settings {
+  /// Whether requests take turns by rank at all.
+  bool ByRank = false;
   admission::fair_queue_options Queue{.Charge =
                                           admission::charge_unit::Request};
   admission::threshold_settings Threshold;
