Prefer warm targets by the time that they say

Cause: with the time rounded up, also services without a limit preferred warm targets for longer than before. Change: the cost follows the time as said, counted from when the report was first read; only the limit rounds it up.

--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -48,7 +48,7 @@
     // The same report may be read more than once.
     if (Entry.Sequence != Existing->Entry.Sequence ||
         Entry.WarmupLeft != Existing->Entry.WarmupLeft)
-      Existing->WarmFrom = Now + countedWarmup(Entry.WarmupLeft);
+      Existing->ReportedAt = Now;
     Existing->Entry = Entry;
     return;
   }
@@ -56,7 +56,7 @@
     remove(Entry.Id);
   const auto Added = std::make_shared<target>(Entry, Settings, *Pattern);
   Added->Key = keyOf(Entry);
-  Added->WarmFrom = Now + countedWarmup(Entry.WarmupLeft);
+  Added->ReportedAt = Now;
   ById[Entry.Id] = Added;
   ByKey[Added->Key] = Added;
   ByService[Entry.Service].push_back(Added);
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -89,8 +89,9 @@
   gray_estimator Fleet;
   /// Estimate from the connections of this instance alone.
   gray_estimator Path;
-  /// When it is warm, by its entry and by its responses.
-  boot_time WarmFrom;
+  /// When the report in its entry was first read.
+  boot_time ReportedAt;
+  /// When it is warm, by its responses.
   boot_time SaidWarmFrom;
   /// The fraction of the instances that send to it while it is cold.
   double SenderFraction = 1;
@@ -115,9 +116,18 @@
   /// next incarnation is another target.
   bool isDraining() const { return Entry.Draining || SaidDraining; }
 
-  /// How long it stays cold; zero if it is warm.
+  /// How long it stays cold by what it said last; zero if it is warm.
   duration warmupLeft(boot_time Now) const {
-    return std::max(std::max(WarmFrom, SaidWarmFrom) - Now, duration::zero());
+    return std::max(std::max(ReportedAt + Entry.WarmupLeft, SaidWarmFrom) - Now,
+                    duration::zero());
+  }
+
+  /// How long its requests are limited, as it may be cold: see countedWarmup().
+  duration limitedFor(boot_time Now) const {
+    return std::max(
+        std::max(ReportedAt + countedWarmup(Entry.WarmupLeft), SaidWarmFrom) -
+            Now,
+        duration::zero());
   }
 };
 
--- a/Source/Gateway/GatewayTargets.cpp
+++ b/Source/Gateway/GatewayTargets.cpp
@@ -65,7 +65,7 @@
 }
 
 double gateway::coldLimitOf(const placement::target &Target) const {
-  if (!Routes || Target.warmupLeft(Loop.now()) == duration::zero())
+  if (!Routes || Target.limitedFor(Loop.now()) == duration::zero())
     return 0;
   const routing::service *Service = Routes->serviceOf(Target.Entry.Service);
   return Service == nullptr ? 0 : Service->WarmupPerSecond;
--- a/Source/Gateway/RequestLog.cpp
+++ b/Source/Gateway/RequestLog.cpp
@@ -108,15 +108,18 @@
 void logTargetCold(const placement::target &Target, double PerSecond,
                    boot_time Now) {
   const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Target.warmupLeft(Now));
-  common::log(
-      log_level::Info, Component, PerSecond > 0 ? "target cold" : "target warm",
-      {{"target", Target.Entry.Id},
-       {"service", Target.Entry.Service},
-       {"per_second", PerSecond},
-       {"left_ms", Left.count()},
-       {"sequence", Target.Entry.Sequence},
-       {"from", Target.SaidWarmFrom > Target.WarmFrom ? "response" : "entry"}});
+      Target.limitedFor(Now));
+  const bool Said =
+      Target.SaidWarmFrom >
+      Target.ReportedAt + placement::countedWarmup(Target.Entry.WarmupLeft);
+  common::log(log_level::Info, Component,
+              PerSecond > 0 ? "target cold" : "target warm",
+              {{"target", Target.Entry.Id},
+               {"service", Target.Entry.Service},
+               {"per_second", PerSecond},
+               {"left_ms", Left.count()},
+               {"sequence", Target.Entry.Sequence},
+               {"from", Said ? "response" : "entry"}});
 }
 
 void logRequestOutcome(const outcome_record &Line) {
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -93,6 +93,13 @@
       CHECK(Cold.warmupLeft(Now) == milliseconds(0));
       CHECK(Draw(400)["a"] > 70);
     }
+    SUBCASE("and is limited for what its reports may leave unsaid, too") {
+      Entry.Sequence = 3;
+      Entry.WarmupLeft = milliseconds(2100);
+      Targets.put(Entry, Now);
+      CHECK(Cold.warmupLeft(Now) == milliseconds(2100));
+      CHECK(Cold.limitedFor(Now) == seconds(4));
+    }
     SUBCASE("until a later report says that it is warm") {
       Entry.Sequence = 3;
       Entry.WarmupLeft = seconds(0);
