Watch each target by one instance while many requests fail

Change: probe_division gives each target to one instance; while 0.08 of a service's requests failed in any two of the last ten seconds, that instance sends it a request every 1.2 to 1.6 s.

--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -5,6 +5,9 @@
 
 /// Intervals of the window that statsOf() covers.
 constexpr int64_t StatsIntervals = 4;
+/// Two seconds with fewer requests are not counted in the highest failed
+/// fraction: one failure would be a large part of them.
+constexpr double MinPeakRequests = 20;
 
 } // namespace
 
@@ -56,7 +59,31 @@
                                     static_cast<int64_t>(IntervalCount) *
                                     StatsIntervals)
           .count();
-  return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0};
+  return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0,
+          peakFailedFraction(Budget, Current)};
+}
+
+double fleet_budgets::peakFailedFraction(const budget &Budget,
+                                         int64_t Current) const {
+  const auto At = [&](int64_t Number) {
+    const interval &Interval =
+        Budget.Window.at(static_cast<size_t>(Number) % IntervalCount);
+    return Interval.Number == Number ? Interval : interval();
+  };
+  double Peak = 0;
+  const int64_t Oldest = Current - static_cast<int64_t>(IntervalCount) + 1;
+  for (int64_t First = std::max<int64_t>(Oldest, 0);
+       First + StatsIntervals <= Current + 1; ++First) {
+    double Requests = 0;
+    double Failed = 0;
+    for (int64_t Number = First; Number < First + StatsIntervals; ++Number) {
+      Requests += At(Number).Requests;
+      Failed += At(Number).Failed;
+    }
+    if (Requests >= MinPeakRequests)
+      Peak = std::max(Peak, Failed / Requests);
+  }
+  return Peak;
 }
 
 double fleet_budgets::requestsAt(const budget &Budget, boot_time Now) const {
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -36,6 +36,9 @@
   double Rate = 0;
   /// The fraction of them that ended without success.
   double FailedFraction = 0;
+  /// The highest such fraction of any two seconds in the window. What makes
+  /// requests fail tends to come again.
+  double PeakFailedFraction = 0;
 };
 
 /// The result of fleet_budgets::tryExtraAttempt() and what it was decided on.
@@ -67,7 +70,8 @@
 
   void countFailed(uint32_t Service, boot_time Now);
 
-  /// The statistics of about the last two seconds.
+  /// The statistics of about the last two seconds, and the highest failed
+  /// fraction in the window.
   service_stats statsOf(uint32_t Service, boot_time Now);
 
   /// Consumes one extra attempt of the budget, if one is left for this
@@ -116,6 +120,7 @@
   /// The number of extra attempts that \p Requests allow.
   double boundFor(double Requests, const fleet_part &Fleet,
                   boot_time Now) const;
+  double peakFailedFraction(const budget &Budget, int64_t Current) const;
   interval &intervalAt(budget &Budget, boot_time Now) const;
   int64_t intervalNumber(boot_time Now) const;
 
--- a/Source/Core/Placement/ProbePolicy.cpp
+++ b/Source/Core/Placement/ProbePolicy.cpp
@@ -1,6 +1,15 @@
 #include "Placement/ProbePolicy.h"
 
 namespace magnolia::placement {
+namespace {
+
+/// Whether the request can be sent again if its first attempt fails.
+bool mayFail(const probe_settings &Settings, const probe_inputs &Inputs) {
+  return Inputs.Repeatable && Inputs.AttemptsLeft > 1 &&
+         Inputs.BudgetUsed < Settings.MaxBudgetUsed;
+}
+
+} // namespace
 
 probe_decision decideProbing(const probe_settings &Settings,
                              const probe_inputs &Inputs) {
@@ -13,6 +22,11 @@
   if (Inputs.Repeatable && Inputs.BudgetUsed < Settings.MaxBudgetUsed)
     Decision.EarlyProbeRate =
         Settings.EarlyBudgetFraction * Inputs.BudgetPerSecond;
+  if (Inputs.FirstAttempt &&
+      Inputs.PeakFailedFraction >= Settings.WatchFailedFraction)
+    Decision.WatchInterval = mayFail(Settings, Inputs)
+                                 ? Settings.WatchInterval
+                                 : Settings.CostlyWatchInterval;
   return Decision;
 }
 
--- a/Source/Core/Placement/ProbePolicy.h
+++ b/Source/Core/Placement/ProbePolicy.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
+#include <optional>
 
 namespace magnolia::placement {
 
@@ -14,6 +16,17 @@
   double EarlyBudgetFraction = 0.25;
   /// Nothing is probed early from this used fraction of the budget on.
   double MaxBudgetUsed = 0.9;
+  /// From this failed fraction of a service's requests on, in any recent two
+  /// seconds, each of its targets is sent a request regularly, whatever is
+  /// known of it: so many failures may mean that targets are excluded that have
+  /// recovered.
+  double WatchFailedFraction = 0.08;
+  /// How long such a target goes without a request, over the fleet, if one
+  /// comes that can be sent again. Targets are in use if they get a request
+  /// every two seconds.
+  std::chrono::milliseconds WatchInterval{1200};
+  /// The same if the request would be lost.
+  std::chrono::milliseconds CostlyWatchInterval{1600};
 };
 
 /// What is known when a target is chosen for a request.
@@ -30,6 +43,10 @@
   /// may still be sent to.
   bool Repeatable = false;
   size_t AttemptsLeft = 1;
+  /// Whether it has not been sent to a target yet.
+  bool FirstAttempt = true;
+  /// The highest failed fraction of the service in recent two seconds.
+  double PeakFailedFraction = 0;
 };
 
 struct probe_decision {
@@ -40,6 +57,9 @@
   /// Probes per second over the fleet of targets that failed a short time ago;
   /// zero if this request may not send one.
   double EarlyProbeRate = 0;
+  /// The request goes to a target that this instance watches if that had none
+  /// for so long; none if it does not.
+  std::optional<std::chrono::milliseconds> WatchInterval;
 };
 
 /// Decides whether a request may probe. A probe that meets a gray target costs
@@ -47,7 +67,12 @@
 /// requests probe, where a service has enough of them, with their first attempt
 /// and within a part of the budget. Load pattern: instances lose their
 /// paths to a third of all targets, and probes of these targets leave nothing
-/// of the budget for the requests that fail without having probed.
+/// of the budget for the requests that fail without having probed. A second
+/// pattern: all requests of a service run at most once, a third of its targets
+/// are gray for nine seconds each, and something else fails a tenth of the
+/// requests. Then too much capacity may be excluded, and each target is tried
+/// all the while, by one instance each (probe_division). That costs at most one
+/// request for each excluded target and interval.
 probe_decision decideProbing(const probe_settings &Settings,
                              const probe_inputs &Inputs);
 
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -255,8 +255,28 @@
   return Chosen;
 }
 
+target_ref target_set::chooseWatched(const placement_query &Query,
+                                     boot_time Now) const {
+  if (Query.Watched == nullptr || !Query.WatchInterval)
+    return nullptr;
+  target_ref Longest;
+  for (const target_ref &Target : targetsOf(Query.Service)) {
+    if (Now - Target->LastUsed <= *Query.WatchInterval ||
+        (Longest && Target->LastUsed >= Longest->LastUsed))
+      continue;
+    // What fails on the path of this instance shows nothing of the target.
+    if (isUsable(*Target, Query, Now) &&
+        Target->Path.probabilityAt(Now) < Settings.MaxProbeRisk &&
+        Query.Watched->owns(Target->Key, Target->Entry.FailureDomain))
+      Longest = Target;
+  }
+  return Longest;
+}
+
 target_ref target_set::choose(const placement_query &Query, boot_time Now,
                               absl::BitGenRef Random) const {
+  if (target_ref Watched = chooseWatched(Query, Now))
+    return Watched;
   if (target_ref Probed = chooseProbed(Query, Now, Random))
     return Probed;
   struct candidate {
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -11,6 +11,7 @@
 #include <absl/types/span.h>
 
 #include "Placement/GrayEstimator.h"
+#include "Placement/ProbeDivision.h"
 #include "Placement/ServiceRoom.h"
 #include "Placement/TargetEntry.h"
 
@@ -127,6 +128,10 @@
   bool MayProbe = true;
   /// Probes per second over the fleet of targets that failed a short time ago.
   double EarlyProbeRate = 0;
+  /// The targets that this instance watches; null if it watches none.
+  const probe_division *Watched = nullptr;
+  /// How long they may go without a request; none if this one need not care.
+  std::optional<duration> WatchInterval;
 };
 
 /// All known targets with their health estimates, and the choice among them.
@@ -232,6 +237,9 @@
     std::vector<target_ref> Early;
   };
   due_targets dueForProbe(const placement_query &Query, boot_time Now) const;
+  /// The watched target that has been without a request for longest, if that is
+  /// longer than it may be.
+  target_ref chooseWatched(const placement_query &Query, boot_time Now) const;
   /// Whether it is excluded, responded to its last probe and is due for
   /// another.
   bool isRecovering(const target &Target, boot_time Now) const;
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -206,10 +206,15 @@
        .BudgetUsed = Budget.UsedFraction,
        .Repeatable = mayBeSentAgain(),
        .AttemptsLeft =
-           mayUseAnotherTarget() ? Route->MaxAttempts - SentTo.size() : 0});
+           mayUseAnotherTarget() ? Route->MaxAttempts - SentTo.size() : 0,
+       .FirstAttempt = Attempts.empty(),
+       .PeakFailedFraction = Stats.PeakFailedFraction});
   Query.ProbingRate = Probing.ProbingRate;
   Query.MayProbe = Probing.MayProbe;
   Query.EarlyProbeRate = Probing.EarlyProbeRate;
+  Query.WatchInterval = Probing.WatchInterval;
+  if (Probing.WatchInterval)
+    Query.Watched = &Gateway.watchedTargets();
   const std::vector<placement::target_key> Unusable = unusableTargets();
   std::vector<placement::target_key> Avoid = Unusable;
   placement::target_ref Chosen;
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -149,6 +149,9 @@
   void checkEnded(const placement::lost_connection &Lost);
   void onTargetEnded(const placement::lost_connection &Lost,
                      const fleet::ended_run &Run);
+  /// The targets that this instance watches, by the peers that are ready and
+  /// can be reached.
+  const placement::probe_division &watchedTargets();
   /// Records that a target completed a request with this fingerprint.
   void onCompleted(uint64_t Fingerprint) {
     LostRequests.forget(Fingerprint);
@@ -175,6 +178,8 @@
   placement::target_registry TargetRegistry;
   placement::loss_filter Losses;
   placement::request_mix RequestMix;
+  placement::probe_division WatchDivision;
+  boot_time WatchDividedAt;
   target_pool Pool;
   target_end_check EndCheck;
   fleet::lost_requests LostRequests;
--- a/Source/Gateway/GatewayTargets.cpp
+++ b/Source/Gateway/GatewayTargets.cpp
@@ -15,6 +15,10 @@
 
 constexpr std::string_view Component = "Gateway";
 constexpr std::chrono::milliseconds ArrivalResetDelay{25};
+/// How often the targets to watch are divided among the instances again.
+constexpr std::chrono::milliseconds WatchDivisionLifetime{200};
+/// A peer that sent nothing for this long watches nothing.
+constexpr std::chrono::milliseconds WatchPeerLifetime{1200};
 
 /// Whether the target is more likely gray than not.
 bool isSuspected(const placement::target &Target, boot_time Now) {
@@ -34,6 +38,23 @@
   logEvidence(RequestId, Target, Evidence, Now - SentAt, Now);
 }
 
+const placement::probe_division &gateway::watchedTargets() {
+  const boot_time Now = Loop.now();
+  if (WatchDividedAt != boot_time() &&
+      Now - WatchDividedAt < WatchDivisionLifetime)
+    return WatchDivision;
+  WatchDividedAt = Now;
+  const auto &Own = Settings.Identity;
+  std::vector<placement::probing_instance> Instances = {
+      {Own.Name, Own.FailureDomain}};
+  for (const auto &[Name, Peer] : Fleet->peers().peers())
+    if (Peer.State == fleet::instance_state::Ready &&
+        Now - Peer.LastReceived < WatchPeerLifetime)
+      Instances.push_back({Name, Peer.Identity.FailureDomain});
+  WatchDivision = placement::probe_division(Own.Name, Instances);
+  return WatchDivision;
+}
+
 void gateway::onTargetDraining(std::string_view RequestId,
                                placement::target &Target) {
   if (Target.isDraining())
--- a/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
@@ -259,3 +259,32 @@
   CHECK(Budgets.statsOf(7, Now + seconds(3)).Rate == 0);
   CHECK(Budgets.statsOf(8, Now).FailedFraction == 0);
 }
+
+TEST_CASE("The highest failed fraction of a service in the window") {
+  fleet_budgets Budgets{budget_settings(), boot_time()};
+  boot_time Now(seconds(100));
+  const auto SendFor = [&](seconds Length, int Requests, int Failures) {
+    for (const boot_time End = Now + Length; Now < End; Now += seconds(1)) {
+      for (int Count = 0; Count < Requests; ++Count)
+        Budgets.countRequest(7, Now);
+      for (int Count = 0; Count < Failures; ++Count)
+        Budgets.countFailed(7, Now);
+    }
+  };
+  const auto Peak = [&] { return Budgets.statsOf(7, Now).PeakFailedFraction; };
+  SendFor(seconds(4), 50, 10);
+  SendFor(seconds(5), 50, 1);
+
+  SUBCASE("is remembered while it is in the window") {
+    CHECK(Peak() == doctest::Approx(0.2));
+    CHECK(Budgets.statsOf(7, Now).FailedFraction < 0.05);
+  }
+  SUBCASE("and forgotten after") {
+    SendFor(seconds(8), 50, 1);
+    CHECK(Peak() == doctest::Approx(0.02));
+  }
+  SUBCASE("does not count the failures of a few requests") {
+    SendFor(seconds(12), 3, 2);
+    CHECK(Peak() == 0);
+  }
+}
--- a/Source/UnitTests/Placement/ProbePolicyTest.cpp
+++ b/Source/UnitTests/Placement/ProbePolicyTest.cpp
@@ -37,4 +37,21 @@
     CHECK(Decide().MayProbe);
     CHECK(Decide().EarlyProbeRate == 0);
   }
+  SUBCASE("and which keep targets in use that nothing was sent to") {
+    CHECK_FALSE(Decide().WatchInterval);
+    Request.PeakFailedFraction = 0.12;
+    CHECK(Decide().WatchInterval == Settings.WatchInterval);
+
+    SUBCASE("later if the request would be lost") {
+      Request.AttemptsLeft = 1;
+      CHECK(Decide().WatchInterval == Settings.CostlyWatchInterval);
+      Request.AttemptsLeft = 2;
+      Request.BudgetUsed = 1;
+      CHECK(Decide().WatchInterval == Settings.CostlyWatchInterval);
+    }
+    SUBCASE("not with a retry") {
+      Request.FirstAttempt = false;
+      CHECK_FALSE(Decide().WatchInterval);
+    }
+  }
 }
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -388,4 +388,31 @@
       CHECK(SendFor(milliseconds(1400))["b"] > 0);
     }
   }
+  SUBCASE("a watched one that had none for too long, whatever it showed") {
+    const probe_division Alone("i1", {{"i1", "Trnava"}});
+    Now += seconds(10);
+    for (const char *Id : {"a", "b", "c", "d"})
+      Targets.find(Id)->LastUsed = Now - milliseconds(200);
+    target &Failed = *Targets.find("b");
+    Targets.observe(Failed, evidence::Broken, Now, Now);
+    Failed.LastUsed = Now - milliseconds(1700);
+    Query.WatchInterval = milliseconds(1600);
+    Query.Watched = &Alone;
+    CHECK(Draw(20)["b"] == 20);
+
+    SUBCASE("not one that another instance watches") {
+      const probe_division Other("i2", {{"i1", "Trnava"}});
+      Query.Watched = &Other;
+      CHECK(Draw(20)["b"] == 0);
+    }
+    SUBCASE("not one that takes no requests") {
+      target_set::pause(Failed, seconds(1), Now);
+      CHECK(Draw(20)["b"] == 0);
+    }
+    SUBCASE("not one that this instance cannot reach") {
+      for (int Count = 0; Count < 3; ++Count)
+        Targets.observe(Failed, evidence::Unreachable, Now, Now);
+      CHECK(Draw(20)["b"] == 0);
+    }
+  }
 }
