Watch targets longer and cheaper; own refusals are no failures of a service

Change: repeatable requests watch from 0.03 failed on, others from 0.08, in any two of the last ten seconds but the first two of a service. Requests refused for key or rate do not count as failed.

--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -5,6 +5,9 @@
 
 /// Intervals of the window that statsOf() covers.
 constexpr int64_t StatsIntervals = 4;
+/// Intervals after the first request of a service that do not count in its
+/// highest failed fraction: nothing is known of its targets yet.
+constexpr int64_t LearningIntervals = 4;
 /// Two seconds with fewer requests are not counted in the highest failed
 /// fraction: one failure would be a large part of them.
 constexpr double MinPeakRequests = 20;
@@ -31,6 +34,8 @@
 
 void fleet_budgets::countRequest(uint32_t Service, boot_time Now) {
   budget &Budget = Budgets[Service];
+  if (!Budget.FirstInterval)
+    Budget.FirstInterval = intervalNumber(Now);
   intervalAt(Budget, Now).Requests += 1;
   ++Budget.Requests;
   Budget.Changed.fill(true);
@@ -70,9 +75,12 @@
         Budget.Window.at(static_cast<size_t>(Number) % IntervalCount);
     return Interval.Number == Number ? Interval : interval();
   };
+  if (!Budget.FirstInterval)
+    return 0;
   double Peak = 0;
   const int64_t Oldest = Current - static_cast<int64_t>(IntervalCount) + 1;
-  for (int64_t First = std::max<int64_t>(Oldest, 0);
+  for (int64_t First =
+           std::max(Oldest, *Budget.FirstInterval + LearningIntervals);
        First + StatsIntervals <= Current + 1; ++First) {
     double Requests = 0;
     double Failed = 0;
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -36,8 +37,8 @@
   double Rate = 0;
   /// The fraction of them that ended without success.
   double FailedFraction = 0;
-  /// The highest such fraction of any two seconds in the window. What makes
-  /// requests fail tends to come again.
+  /// The highest such fraction of any two seconds in the window, but for the
+  /// first ones of the service. What makes requests fail tends to come again.
   double PeakFailedFraction = 0;
 };
 
@@ -108,6 +109,8 @@
 
   struct budget {
     std::array<interval, IntervalCount> Window;
+    /// That of the first request to this instance.
+    std::optional<int64_t> FirstInterval;
     use_window ExtraAttempts;
     uint64_t Requests = 0;
     uint64_t OwnExtraAttempts = 0;
--- a/Source/Core/Placement/ProbePolicy.cpp
+++ b/Source/Core/Placement/ProbePolicy.cpp
@@ -9,6 +9,16 @@
          Inputs.BudgetUsed < Settings.MaxBudgetUsed;
 }
 
+std::optional<std::chrono::milliseconds>
+watchInterval(const probe_settings &Settings, const probe_inputs &Inputs) {
+  const bool Costly = !mayFail(Settings, Inputs);
+  const double MinFailedFraction = Costly ? Settings.CostlyWatchFailedFraction
+                                          : Settings.WatchFailedFraction;
+  if (Inputs.PeakFailedFraction < MinFailedFraction)
+    return std::nullopt;
+  return Costly ? Settings.CostlyWatchInterval : Settings.WatchInterval;
+}
+
 } // namespace
 
 probe_decision decideProbing(const probe_settings &Settings,
@@ -22,11 +32,8 @@
   if (Inputs.Repeatable && Inputs.BudgetUsed < Settings.MaxBudgetUsed)
     Decision.EarlyProbeRate =
         Settings.EarlyBudgetFraction * Inputs.BudgetPerSecond;
-  if (Inputs.FirstAttempt &&
-      Inputs.PeakFailedFraction >= Settings.WatchFailedFraction)
-    Decision.WatchInterval = mayFail(Settings, Inputs)
-                                 ? Settings.WatchInterval
-                                 : Settings.CostlyWatchInterval;
+  if (Inputs.FirstAttempt)
+    Decision.WatchInterval = watchInterval(Settings, Inputs);
   return Decision;
 }
 
--- a/Source/Core/Placement/ProbePolicy.h
+++ b/Source/Core/Placement/ProbePolicy.h
@@ -18,15 +18,15 @@
   double MaxBudgetUsed = 0.9;
   /// From this failed fraction of a service's requests on, in any recent two
   /// seconds, each of its targets is sent a request regularly, whatever is
-  /// known of it: so many failures may mean that targets are excluded that have
-  /// recovered.
-  double WatchFailedFraction = 0.08;
-  /// How long such a target goes without a request, over the fleet, if one
-  /// comes that can be sent again. Targets are in use if they get a request
-  /// every two seconds.
+  /// known of it: targets may be excluded that have recovered, and be missed
+  /// when others fail.
+  double WatchFailedFraction = 0.03;
+  /// How long such a target goes without a request, over the fleet. Targets are
+  /// in use if they get a request every two seconds.
   std::chrono::milliseconds WatchInterval{1200};
-  /// The same if the request would be lost.
-  std::chrono::milliseconds CostlyWatchInterval{1600};
+  /// The same for requests that are lost if the target fails them.
+  double CostlyWatchFailedFraction = 0.08;
+  std::chrono::milliseconds CostlyWatchInterval{1750};
 };
 
 /// What is known when a target is chosen for a request.
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -123,6 +123,13 @@
 }
 
 bool exchange::admit() {
+  // A refusal ends the request at once.
+  NotAdmitted = true;
+  NotAdmitted = !checkWorkspace();
+  return !NotAdmitted;
+}
+
+bool exchange::checkWorkspace() {
   if (Route->Public || !Routes->configurationInForce().RequiresKeys)
     return true;
   const header_names &HeaderNames = Gateway.Environment.HeaderNames;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -47,6 +47,7 @@
   /// Refuses a request when messages hold nearly all memory that they may.
   bool checkMemory();
   bool admit();
+  bool checkWorkspace();
   void chooseService();
   bool readDeadline();
   /// Refuses a request under which targets end.
@@ -142,6 +143,9 @@
   timer_id PauseTimer = 0;
   bool ReturnedSuccess = false;
   bool Hedged = false;
+  /// Refused for its key or its workspace's rate, which says nothing of the
+  /// service.
+  bool NotAdmitted = false;
   /// Why the next target is chosen; written to the log.
   std::string_view Reason = "first";
   bool Done = false;
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -323,7 +323,7 @@
   if (Done)
     return;
   Done = true;
-  if (!ReturnedSuccess && !Service.empty())
+  if (!ReturnedSuccess && !Service.empty() && !NotAdmitted)
     Gateway.Fleet->budgets().countFailed(fleet::usageKey(Service),
                                          Gateway.Loop.now());
   Gateway.Loop.cancel(DeadlineTimer);
--- a/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
@@ -260,7 +260,7 @@
   CHECK(Budgets.statsOf(8, Now).FailedFraction == 0);
 }
 
-TEST_CASE("The highest failed fraction of a service in the window") {
+TEST_CASE("The highest failed fraction of a service in the last seconds") {
   fleet_budgets Budgets{budget_settings(), boot_time()};
   boot_time Now(seconds(100));
   const auto SendFor = [&](seconds Length, int Requests, int Failures) {
@@ -272,10 +272,13 @@
     }
   };
   const auto Peak = [&] { return Budgets.statsOf(7, Now).PeakFailedFraction; };
+  SendFor(seconds(2), 50, 30);
   SendFor(seconds(4), 50, 10);
-  SendFor(seconds(5), 50, 1);
+  SendFor(seconds(2), 50, 1);
 
-  SUBCASE("is remembered while it is in the window") {
+  SUBCASE("is remembered for some seconds") {
+    CHECK(Peak() == doctest::Approx(0.2));
+    SendFor(seconds(3), 50, 1);
     CHECK(Peak() == doctest::Approx(0.2));
     CHECK(Budgets.statsOf(7, Now).FailedFraction < 0.05);
   }
--- a/Source/UnitTests/Placement/ProbePolicyTest.cpp
+++ b/Source/UnitTests/Placement/ProbePolicyTest.cpp
@@ -41,8 +41,15 @@
     CHECK_FALSE(Decide().WatchInterval);
     Request.PeakFailedFraction = 0.12;
     CHECK(Decide().WatchInterval == Settings.WatchInterval);
+    Request.PeakFailedFraction = 0.04;
+    CHECK(Decide().WatchInterval == Settings.WatchInterval);
 
+    SUBCASE("not by one that would be lost while fewer than a tenth fail") {
+      Request.Repeatable = false;
+      CHECK_FALSE(Decide().WatchInterval);
+    }
     SUBCASE("later if the request would be lost") {
+      Request.PeakFailedFraction = 0.12;
       Request.AttemptsLeft = 1;
       CHECK(Decide().WatchInterval == Settings.CostlyWatchInterval);
       Request.AttemptsLeft = 2;
