Watch counts refused requests apart, and no lost connections

Cause: an instance that saw its target reset a connection took its path for lost and stopped watching it. Change: only a failed connect stops the watch, for two seconds; refusals for key and rate count for the watch alone, unsafe requests watch from 0.1 on.

--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -36,7 +36,9 @@
   budget &Budget = Budgets[Service];
   if (!Budget.FirstInterval)
     Budget.FirstInterval = intervalNumber(Now);
-  intervalAt(Budget, Now).Requests += 1;
+  interval &Interval = intervalAt(Budget, Now);
+  Interval.Requests += 1;
+  Interval.OwnRequests += 1;
   ++Budget.Requests;
   Budget.Changed.fill(true);
 }
@@ -48,6 +50,10 @@
   Budget.Changed.fill(true);
 }
 
+void fleet_budgets::countNotAdmitted(uint32_t Service, boot_time Now) {
+  intervalAt(Budgets[Service], Now).NotAdmitted += 1;
+}
+
 service_stats fleet_budgets::statsOf(uint32_t Service, boot_time Now) {
   budget &Budget = Budgets[Service];
   const int64_t Current = intervalAt(Budget, Now).Number;
@@ -65,7 +71,21 @@
                                     StatsIntervals)
           .count();
   return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0,
-          peakFailedFraction(Budget, Current)};
+          peakFailedFraction(Budget, Current) +
+              notAdmittedFraction(Budget, Current)};
+}
+
+double fleet_budgets::notAdmittedFraction(const budget &Budget,
+                                          int64_t Current) {
+  double Requests = 0;
+  double NotAdmitted = 0;
+  for (const interval &Interval : Budget.Window) {
+    if (Interval.Number + static_cast<int64_t>(IntervalCount) <= Current)
+      continue;
+    Requests += Interval.OwnRequests;
+    NotAdmitted += Interval.NotAdmitted;
+  }
+  return Requests >= MinPeakRequests ? NotAdmitted / Requests : 0;
 }
 
 double fleet_budgets::peakFailedFraction(const budget &Budget,
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -38,7 +38,9 @@
   /// The fraction of them that ended without success.
   double FailedFraction = 0;
   /// The highest such fraction of any two seconds in the window, but for the
-  /// first ones of the service. What makes requests fail tends to come again.
+  /// first ones of the service, with the fraction of this instance's requests
+  /// in the window that were not admitted. What makes requests fail tends to
+  /// come again.
   double PeakFailedFraction = 0;
 };
 
@@ -71,6 +73,10 @@
 
   void countFailed(uint32_t Service, boot_time Now);
 
+  /// Counts a request that was refused for its key or its workspace's rate. It
+  /// does not count as failed: that says nothing of the service.
+  void countNotAdmitted(uint32_t Service, boot_time Now);
+
   /// The statistics of about the last two seconds, and the highest failed
   /// fraction in the window.
   service_stats statsOf(uint32_t Service, boot_time Now);
@@ -105,6 +111,9 @@
     int64_t Number = -1;
     double Requests = 0;
     double Failed = 0;
+    /// Of this instance alone.
+    double OwnRequests = 0;
+    double NotAdmitted = 0;
   };
 
   struct budget {
@@ -124,6 +133,7 @@
   double boundFor(double Requests, const fleet_part &Fleet,
                   boot_time Now) const;
   double peakFailedFraction(const budget &Budget, int64_t Current) const;
+  static double notAdmittedFraction(const budget &Budget, int64_t Current);
   interval &intervalAt(budget &Budget, boot_time Now) const;
   int64_t intervalNumber(boot_time Now) const;
 
--- a/Source/Core/Placement/ProbePolicy.h
+++ b/Source/Core/Placement/ProbePolicy.h
@@ -25,7 +25,7 @@
   /// in use if they get a request every two seconds.
   std::chrono::milliseconds WatchInterval{1200};
   /// The same for requests that are lost if the target fails them.
-  double CostlyWatchFailedFraction = 0.08;
+  double CostlyWatchFailedFraction = 0.1;
   std::chrono::milliseconds CostlyWatchInterval{1750};
 };
 
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -19,6 +19,9 @@
 /// Maximum extra cost of a target that has just started: it is slow but must
 /// still get some requests.
 constexpr double MaxWarmupCost = 0.04;
+/// A target that this instance could not connect to is not watched for this
+/// long.
+constexpr std::chrono::seconds LostPathPause{2};
 /// Average rate of probes to a target that is due for one: about one in twelve
 /// gets none within a second.
 constexpr double ProbesPerSecond = 2.5;
@@ -264,9 +267,9 @@
     if (Now - Target->LastUsed <= *Query.WatchInterval ||
         (Longest && Target->LastUsed >= Longest->LastUsed))
       continue;
-    // What fails on the path of this instance shows nothing of the target.
+    // A path that is lost shows nothing of the target.
     if (isUsable(*Target, Query, Now) &&
-        Target->Path.probabilityAt(Now) < Settings.MaxProbeRisk &&
+        Now - Target->LastUnreachable >= LostPathPause &&
         Query.Watched->owns(Target->Key, Target->Entry.FailureDomain))
       Longest = Target;
   }
@@ -337,6 +340,8 @@
   // alone.
   if (Evidence != evidence::Unreachable)
     Target.Fleet.observe(Evidence, SentAt, Now);
+  else
+    Target.LastUnreachable = Now;
   if (Evidence == evidence::Unreachable || Evidence == evidence::Stalled ||
       Evidence == evidence::Succeeded || Evidence == evidence::SucceededLate)
     Target.Path.observe(Evidence, SentAt, Now);
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -92,6 +92,8 @@
   boot_time AddedAt;
   /// Time of the last known request from any instance.
   boot_time LastUsed;
+  /// When this instance last failed to connect to it.
+  boot_time LastUnreachable;
   uint32_t OwnInFlight = 0;
   /// Idle connections of this instance.
   uint32_t IdleConnections = 0;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -110,6 +110,8 @@
               std::optional<duration> RetryAfter = std::nullopt);
   void forwardResponse(message::response Response);
   void finish();
+  /// Counts the request if it ended without success.
+  void countFailure();
 
   bool repeatable() const {
     return Route->Repeatability == routing::repeatability::Repeatable;
@@ -143,8 +145,7 @@
   timer_id PauseTimer = 0;
   bool ReturnedSuccess = false;
   bool Hedged = false;
-  /// Refused for its key or its workspace's rate, which says nothing of the
-  /// service.
+  /// Refused for its key or its workspace's rate, or about to be.
   bool NotAdmitted = false;
   /// Why the next target is chosen; written to the log.
   std::string_view Reason = "first";
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -319,13 +319,21 @@
   finish();
 }
 
+void exchange::countFailure() {
+  if (ReturnedSuccess || Service.empty())
+    return;
+  fleet::fleet_budgets &Budgets = Gateway.Fleet->budgets();
+  if (NotAdmitted)
+    Budgets.countNotAdmitted(fleet::usageKey(Service), Gateway.Loop.now());
+  else
+    Budgets.countFailed(fleet::usageKey(Service), Gateway.Loop.now());
+}
+
 void exchange::finish() {
   if (Done)
     return;
   Done = true;
-  if (!ReturnedSuccess && !Service.empty() && !NotAdmitted)
-    Gateway.Fleet->budgets().countFailed(fleet::usageKey(Service),
-                                         Gateway.Loop.now());
+  countFailure();
   Gateway.Loop.cancel(DeadlineTimer);
   Gateway.Loop.cancel(PauseTimer);
   for (const attempt_ref &Attempt : Attempts) {
--- a/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
+++ b/Source/UnitTests/Fleet/FleetBudgetsTest.cpp
@@ -286,6 +286,12 @@
     SendFor(seconds(8), 50, 1);
     CHECK(Peak() == doctest::Approx(0.02));
   }
+  SUBCASE("counts what this instance refused before sending it") {
+    for (int Count = 0; Count < 40; ++Count)
+      Budgets.countNotAdmitted(7, Now);
+    CHECK(Peak() == doctest::Approx(0.3));
+    CHECK(Budgets.statsOf(7, Now).FailedFraction < 0.05);
+  }
   SUBCASE("does not count the failures of a few requests") {
     SendFor(seconds(12), 3, 2);
     CHECK(Peak() == 0);
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -409,9 +409,12 @@
       target_set::pause(Failed, seconds(1), Now);
       CHECK(Draw(20)["b"] == 0);
     }
+    SUBCASE("also after it reset a connection of this instance") {
+      target_set::observePath(Failed, evidence::Broken, Now, Now);
+      CHECK(Draw(20)["b"] == 20);
+    }
     SUBCASE("not one that this instance cannot reach") {
-      for (int Count = 0; Count < 3; ++Count)
-        Targets.observe(Failed, evidence::Unreachable, Now, Now);
+      Targets.observe(Failed, evidence::Unreachable, Now, Now);
       CHECK(Draw(20)["b"] == 0);
     }
   }
