--- a/Source/Core/Fleet/FleetBudgets.cpp
+++ b/Source/Core/Fleet/FleetBudgets.cpp
@@ -7,6 +7,12 @@
 
 /// Intervals of the window that statsOf() covers.
 constexpr int64_t StatsIntervals = 4;
+/// Intervals after the first request of a service that do not count in its
+/// highest failed fraction: nothing is known of its targets yet.
+constexpr int64_t LearningIntervals = 4;
+/// Two seconds with fewer requests are not counted in the highest failed
+/// fraction: one failure would be a large part of them.
+constexpr double MinPeakRequests = 20;
 
 } // namespace
 
@@ -30,7 +36,11 @@
 
 void fleet_budgets::countRequest(uint32_t Service, boot_time Now) {
   budget &Budget = Budgets[Service];
-  intervalAt(Budget, Now).Requests += 1;
+  if (!Budget.FirstInterval)
+    Budget.FirstInterval = intervalNumber(Now);
+  interval &Interval = intervalAt(Budget, Now);
+  Interval.Requests += 1;
+  Interval.OwnRequests += 1;
   Budget.SecondSendRequests.add(Settings.SecondSendWindow, 1, Now);
   ++Budget.Fleet.Requests;
   ++Budget.Requests;
@@ -58,6 +68,10 @@
   Budget.Changed.fill(true);
 }
 
+void fleet_budgets::countNotAdmitted(uint32_t Service, boot_time Now) {
+  intervalAt(Budgets[Service], Now).NotAdmitted += 1;
+}
+
 service_stats fleet_budgets::statsOf(uint32_t Service, boot_time Now) {
   budget &Budget = Budgets[Service];
   const int64_t Current = intervalAt(Budget, Now).Number;
@@ -77,7 +91,9 @@
   const double Timed = Budget.TimedSends.sumAt(Settings.LateWindow, Now);
   const double Late = Budget.LateSends.sumAt(Settings.LateWindow, Now);
   return {Requests / Seconds, Requests > 0 ? Failed / Requests : 0,
-          Timed > 0 ? std::min(1.0, Late / Timed) : 0};
+          Timed > 0 ? std::min(1.0, Late / Timed) : 0,
+          peakFailedFraction(Budget, Current) +
+              notAdmittedFraction(Budget, Current)};
 }
 
 double fleet_budgets::rateOf(uint32_t Key, boot_time Now) const {
@@ -96,6 +112,45 @@
   return Requests / std::chrono::duration<double>(Covered).count();
 }
 
+double fleet_budgets::notAdmittedFraction(const budget &Budget,
+                                          int64_t Current) {
+  double Requests = 0;
+  double NotAdmitted = 0;
+  for (const interval &Interval : Budget.Window) {
+    if (Interval.Number + static_cast<int64_t>(IntervalCount) <= Current)
+      continue;
+    Requests += Interval.OwnRequests;
+    NotAdmitted += Interval.NotAdmitted;
+  }
+  return Requests >= MinPeakRequests ? NotAdmitted / Requests : 0;
+}
+
+double fleet_budgets::peakFailedFraction(const budget &Budget,
+                                         int64_t Current) const {
+  const auto At = [&](int64_t Number) {
+    const interval &Interval =
+        Budget.Window.at(static_cast<size_t>(Number) % IntervalCount);
+    return Interval.Number == Number ? Interval : interval();
+  };
+  if (!Budget.FirstInterval)
+    return 0;
+  double Peak = 0;
+  const int64_t Oldest = Current - static_cast<int64_t>(IntervalCount) + 1;
+  for (int64_t First =
+           std::max(Oldest, *Budget.FirstInterval + LearningIntervals);
+       First + StatsIntervals <= Current + 1; ++First) {
+    double Requests = 0;
+    double Failed = 0;
+    for (int64_t Number = First; Number < First + StatsIntervals; ++Number) {
+      Requests += At(Number).Requests;
+      Failed += At(Number).Failed;
+    }
+    if (Requests >= MinPeakRequests)
+      Peak = std::max(Peak, Failed / Requests);
+  }
+  return Peak;
+}
+
 double fleet_budgets::requestsAt(const budget &Budget, boot_time Now) const {
   const int64_t Current = intervalNumber(Now);
   double Requests = 0;
--- a/Source/Core/Fleet/FleetBudgets.h
+++ b/Source/Core/Fleet/FleetBudgets.h
@@ -62,6 +62,11 @@
   /// The fraction of the sends that took longer than usual, of those whose
   /// usual latency was known.
   double LateFraction = 0;
+  /// The highest such fraction of any two seconds in the window, but for the
+  /// first ones of the service, with the fraction of this instance's requests
+  /// in the window that were not admitted. What makes requests fail tends to
+  /// come again.
+  double PeakFailedFraction = 0;
 };
 
 /// The result of fleet_budgets::tryExtraAttempt() and what it was decided on.
@@ -114,7 +119,12 @@
   /// Counts a send that takes longer than is usual.
   void countLateSend(uint32_t Service, boot_time Now);
 
-  /// The statistics of about the last two seconds.
+  /// Counts a request that was refused for its key or its workspace's rate. It
+  /// does not count as failed: that says nothing of the service.
+  void countNotAdmitted(uint32_t Service, boot_time Now);
+
+  /// The statistics of about the last two seconds, and the highest failed
+  /// fraction in the window.
   service_stats statsOf(uint32_t Service, boot_time Now);
 
   /// Requests per second under \p Key in about the last second.
@@ -171,10 +181,15 @@
     int64_t Number = -1;
     double Requests = 0;
     double Failed = 0;
+    /// Of this instance alone.
+    double OwnRequests = 0;
+    double NotAdmitted = 0;
   };
 
   struct budget {
     std::array<interval, IntervalCount> Window;
+    /// That of the first request to this instance.
+    std::optional<int64_t> FirstInterval;
     use_window ExtraAttempts;
     uint64_t Requests = 0;
     uint64_t OwnExtraAttempts = 0;
@@ -200,6 +215,8 @@
   /// The number of extra attempts that \p Requests allow.
   double boundFor(double Requests, const fleet_part &Fleet,
                   boot_time Now) const;
+  double peakFailedFraction(const budget &Budget, int64_t Current) const;
+  static double notAdmittedFraction(const budget &Budget, int64_t Current);
   interval &intervalAt(budget &Budget, boot_time Now) const;
   int64_t intervalNumber(boot_time Now) const;
 
--- a/Source/Core/Placement/ProbePolicy.cpp
+++ b/Source/Core/Placement/ProbePolicy.cpp
@@ -1,6 +1,25 @@
 #include "Placement/ProbePolicy.h"
 
 namespace magnolia::placement {
+namespace {
+
+/// Whether the request can be sent again if its first attempt fails.
+bool mayFail(const probe_settings &Settings, const probe_inputs &Inputs) {
+  return Inputs.Repeatable && Inputs.AttemptsLeft > 1 &&
+         Inputs.BudgetUsed < Settings.MaxBudgetUsed;
+}
+
+std::optional<std::chrono::milliseconds>
+watchInterval(const probe_settings &Settings, const probe_inputs &Inputs) {
+  const bool Costly = !mayFail(Settings, Inputs);
+  const double MinFailedFraction = Costly ? Settings.CostlyWatchFailedFraction
+                                          : Settings.WatchFailedFraction;
+  if (Inputs.PeakFailedFraction < MinFailedFraction)
+    return std::nullopt;
+  return Costly ? Settings.CostlyWatchInterval : Settings.WatchInterval;
+}
+
+} // namespace
 
 probe_decision decideProbing(const probe_settings &Settings,
                              const probe_inputs &Inputs) {
@@ -13,6 +32,8 @@
   if (Inputs.Repeatable && Inputs.BudgetUsed < Settings.MaxBudgetUsed)
     Decision.EarlyProbeRate =
         Settings.EarlyBudgetFraction * Inputs.BudgetPerSecond;
+  if (Inputs.FirstAttempt)
+    Decision.WatchInterval = watchInterval(Settings, Inputs);
   return Decision;
 }
 
--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -19,6 +19,9 @@
 /// Maximum extra cost of a target that is cold: it is slow but must still get
 /// some requests.
 constexpr double MaxWarmupCost = 0.04;
+/// A target that this instance could not connect to is not watched for this
+/// long.
+constexpr std::chrono::seconds LostPathPause{2};
 /// Average rate of probes to a target that is due for one: about one in twelve
 /// gets none within a second.
 constexpr double ProbesPerSecond = 2.5;
@@ -317,8 +320,28 @@
   return Chosen;
 }
 
+target_ref target_set::chooseWatched(const placement_query &Query,
+                                     boot_time Now) const {
+  if (Query.Watched == nullptr || !Query.WatchInterval)
+    return nullptr;
+  target_ref Longest;
+  for (const target_ref &Target : targetsOf(Query.Service)) {
+    if (Now - Target->LastUsed <= *Query.WatchInterval ||
+        (Longest && Target->LastUsed >= Longest->LastUsed))
+      continue;
+    // A path that is lost shows nothing of the target.
+    if (isUsable(*Target, Query, Now) &&
+        Now - Target->LastUnreachable >= LostPathPause &&
+        Query.Watched->owns(Target->Key, Target->Entry.FailureDomain))
+      Longest = Target;
+  }
+  return Longest;
+}
+
 target_ref target_set::choose(const placement_query &Query, boot_time Now,
                               absl::BitGenRef Random) const {
+  if (target_ref Watched = chooseWatched(Query, Now))
+    return Watched;
   if (target_ref Probed = chooseProbed(Query, Now, Random))
     return Probed;
   if (isDivided(Query.Service))
@@ -385,6 +408,8 @@
   // alone.
   if (Evidence != evidence::Unreachable)
     Target.Fleet.observe(Evidence, SentAt, Now);
+  else
+    Target.LastUnreachable = Now;
   if (Evidence == evidence::Unreachable || Evidence == evidence::Stalled ||
       Evidence == evidence::Succeeded || Evidence == evidence::SucceededLate)
     Target.Path.observe(Evidence, SentAt, Now);
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -194,11 +194,13 @@
   const header_names &HeaderNames = Gateway.Environment.HeaderNames;
   const auto Key = Call->Request.Headers.find(HeaderNames.Key);
   if (!Key || Key->empty()) {
+    NotAdmitted = true;
     refuse(error_kind::KeyMissing, "the route needs a key");
     return false;
   }
   Workspace = Routes->workspaceOf(*Key);
   if (Workspace == nullptr) {
+    NotAdmitted = true;
     refuse(error_kind::KeyUnknown, "no workspace holds this key");
     return false;
   }
@@ -227,6 +229,7 @@
       Gateway.Fleet->ownFraction());
   if (Decision.Admitted)
     return true;
+  NotAdmitted = true;
   refuse(error_kind::RateExceeded,
          absl::StrCat("the bucket of ", Workspace->Name, " holds ",
                       Decision.Tokens, ", rate ", Workspace->RatePerSecond,
@@ -292,10 +295,15 @@
        .BudgetUsed = Budget.UsedFraction,
        .Repeatable = mayBeSentAgain(),
        .AttemptsLeft =
-           mayUseAnotherTarget() ? Route->MaxAttempts - SentTo.size() : 0});
+           mayUseAnotherTarget() ? Route->MaxAttempts - SentTo.size() : 0,
+       .FirstAttempt = Attempts.empty(),
+       .PeakFailedFraction = Stats.PeakFailedFraction});
   Query.ProbingRate = Probing.ProbingRate;
   Query.MayProbe = Probing.MayProbe;
   Query.EarlyProbeRate = Probing.EarlyProbeRate;
+  Query.WatchInterval = Probing.WatchInterval;
+  if (Probing.WatchInterval)
+    Query.Watched = &Gateway.watchedTargets();
   const std::vector<placement::target_key> Unusable = unusableTargets();
   std::vector<placement::target_key> Avoid = Unusable;
   placement::target_ref Chosen;
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -138,6 +138,8 @@
   /// and what became of its second send.
   void settleSecondSend();
   latency_key latencyKey() const { return {Service, Route->Name}; }
+  /// Counts the request if it ended without success.
+  void countFailure();
 
   bool repeatable() const {
     return Route->Repeatability == routing::repeatability::Repeatable;
@@ -182,6 +184,8 @@
   attempt_ref SecondSend;
   /// The attempt whose response the caller gets.
   attempt_ref Answered;
+  /// Refused for its key or its workspace's rate.
+  bool NotAdmitted = false;
   /// Why the next target is chosen; written to the log.
   std::string_view Reason = "first";
   bool Done = false;
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -211,6 +211,9 @@
                     placement::evidence Evidence);
   admission::service_load loadOf(std::string_view Service,
                                  size_t RankCount) const;
+  /// The targets that this instance watches, by the peers that are ready and
+  /// can be reached.
+  const placement::probe_division &watchedTargets();
   /// Records that a target completed a request with this fingerprint.
   void onCompleted(uint64_t Fingerprint) {
     LostRequests.forget(Fingerprint);
@@ -244,6 +247,8 @@
   fleet::cold_targets ColdTargets;
   placement::loss_filter Losses;
   placement::request_mix RequestMix;
+  placement::probe_division WatchDivision;
+  boot_time WatchDividedAt;
   target_pool Pool;
   target_end_check EndCheck;
   fleet::lost_requests LostRequests;
