--- a/Source/Core/Routing/ConfigurationCheck.cpp
+++ b/Source/Core/Routing/ConfigurationCheck.cpp
@@ -368,8 +368,9 @@
 void checkWarmups(check_report &Report) {
   for (const service &Service : Report.config().Services)
     if (Service.Warmup > duration::zero() && Service.WarmupPerSecond == 0)
-      Report.add(Service, "warmup_per_second",
-                 "targets warm up, but what they take meanwhile is not limited");
+      Report.add(
+          Service, "warmup_per_second",
+          "targets warm up, but what they take meanwhile is not limited");
 }
 
 constexpr named_check Checks[] = {
