Watch targets among many instances only, wait by rank only where targets are divided

Change: fewer than 24 instances watch nothing; waiting by rank needs targets that are divided among the instances.

--- a/Source/Core/Placement/ProbePolicy.cpp
+++ b/Source/Core/Placement/ProbePolicy.cpp
@@ -14,7 +14,8 @@
   const bool Costly = !mayFail(Settings, Inputs);
   const double MinFailedFraction = Costly ? Settings.CostlyWatchFailedFraction
                                           : Settings.WatchFailedFraction;
-  if (Inputs.PeakFailedFraction < MinFailedFraction)
+  if (Inputs.PeakFailedFraction < MinFailedFraction ||
+      Inputs.Instances < Settings.MinWatchInstances)
     return std::nullopt;
   return Costly ? Settings.CostlyWatchInterval : Settings.WatchInterval;
 }
--- a/Source/Core/Placement/ProbePolicy.h
+++ b/Source/Core/Placement/ProbePolicy.h
@@ -27,6 +27,9 @@
   /// The same for requests that are lost if the target fails them.
   double CostlyWatchFailedFraction = 0.1;
   std::chrono::milliseconds CostlyWatchInterval{1750};
+  /// Fewer instances watch nothing: the probes that they draw at random hardly
+  /// meet at the same target, and each failed one costs the same.
+  size_t MinWatchInstances = 24;
 };
 
 /// What is known when a target is chosen for a request.
@@ -45,6 +48,8 @@
   size_t AttemptsLeft = 1;
   /// Whether it has not been sent to a target yet.
   bool FirstAttempt = true;
+  /// Reachable instances, this one included.
+  size_t Instances = 1;
   /// The highest failed fraction of the service in recent two seconds.
   double PeakFailedFraction = 0;
 };
--- a/Source/Gateway/Exchange.cpp
+++ b/Source/Gateway/Exchange.cpp
@@ -297,6 +297,7 @@
        .AttemptsLeft =
            mayUseAnotherTarget() ? Route->MaxAttempts - SentTo.size() : 0,
        .FirstAttempt = Attempts.empty(),
+       .Instances = Gateway.Fleet->reachablePart().Instances,
        .PeakFailedFraction = Stats.PeakFailedFraction});
   Query.ProbingRate = Probing.ProbingRate;
   Query.MayProbe = Probing.MayProbe;
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -200,11 +200,12 @@
   void checkEnded(const placement::lost_connection &Lost);
   void onTargetEnded(const placement::lost_connection &Lost,
                      const fleet::ended_run &Run);
-  /// Whether requests of \p Service wait by rank: the settings say so and they
-  /// differ in rank.
+  /// Whether requests of \p Service wait by rank: the settings say so, they
+  /// differ in rank, and the service's targets are divided.
   bool waitsByRank(std::string_view Service) const {
-    return Settings.Queues.ByRank && Routes &&
-           Routes->ranks().countOf(Service) > 1;
+    const queue_settings &Queue = Settings.Queues;
+    return Queue.ByRank && Routes && Routes->ranks().countOf(Service) > 1 &&
+           (!Queue.OnlyWhereDivided || TargetSet.isDivided(Service));
   }
   /// Counts what a target did with a request of this instance or a peer.
   void countOutcome(const placement::target &Target,
--- a/Source/Gateway/ServiceQueues.h
+++ b/Source/Gateway/ServiceQueues.h
@@ -24,6 +24,10 @@
 struct queue_settings {
   /// Whether requests take turns by rank at all.
   bool ByRank = false;
+  /// Whether they do so only where targets are divided among the instances.
+  /// Elsewhere an instance mostly knows the room of a target by itself, and
+  /// fewer instances agree on a shortage too late to gain by waiting.
+  bool OnlyWhereDivided = true;
   admission::fair_queue_options Queue{.Charge =
                                           admission::charge_unit::Request};
   admission::threshold_settings Threshold;
--- a/Source/UnitTests/Placement/ProbeDivisionTest.cpp
+++ b/Source/UnitTests/Placement/ProbeDivisionTest.cpp
@@ -48,6 +48,7 @@
     }
     Inputs.RequestRate = RequestsPerSecond;
     Inputs.PeakFailedFraction = PeakFailedFraction;
+    Inputs.Instances = Instances;
     for (int Index = 0; Index < Targets; ++Index)
       addTarget(Index);
   }
--- a/Source/UnitTests/Placement/ProbePolicyTest.cpp
+++ b/Source/UnitTests/Placement/ProbePolicyTest.cpp
@@ -40,6 +40,7 @@
   SUBCASE("and which keep targets in use that nothing was sent to") {
     CHECK_FALSE(Decide().WatchInterval);
     Request.PeakFailedFraction = 0.12;
+    Request.Instances = 50;
     CHECK(Decide().WatchInterval == Settings.WatchInterval);
     Request.PeakFailedFraction = 0.04;
     CHECK(Decide().WatchInterval == Settings.WatchInterval);
@@ -56,6 +57,10 @@
       Request.BudgetUsed = 1;
       CHECK(Decide().WatchInterval == Settings.CostlyWatchInterval);
     }
+    SUBCASE("not among few instances, whose probes hardly meet") {
+      Request.Instances = 16;
+      CHECK_FALSE(Decide().WatchInterval);
+    }
     SUBCASE("not with a retry") {
       Request.FirstAttempt = false;
       CHECK_FALSE(Decide().WatchInterval);
