--- a/Source/UnitTests/Admission/FairQueueTest.cpp
+++ b/Source/UnitTests/Admission/FairQueueTest.cpp
@@ -374,7 +374,7 @@
   Queue.Slots = 1;
   milliseconds Now{0};
   for (int Count = 0; Count < 100; ++Count)
-    for (const size_t Rank : {2, 1, 0})
+    for (const size_t Rank : {size_t{2}, size_t{1}, size_t{0}})
       REQUIRE(Queue
                   .submit(Rank, Now, milliseconds(100000),
                           Count % 2 == 0 ? "clubs" : "resellers")
--- a/Source/UnitTests/Routing/ConfigurationCheckTest.cpp
+++ b/Source/UnitTests/Routing/ConfigurationCheckTest.cpp
@@ -251,7 +251,8 @@
     New.Services.push_back({"three", 7});
     New.Limits.IdleTimeout = seconds(20);
     CHECK(Differences() == std::vector<std::string>{
-                               "+ service three: connections of a target 7",
+                               "+ service three: connections of a target 7, "
+                               "requests per second while cold 0, warm-up 0",
                                "~ route reads: timeout 1m -> 5s",
                                "~ limits of callers: idle timeout 15s -> 20s"});
   }
