--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -362,7 +362,10 @@
   if (ReturnedSuccess || Service.empty())
     return;
   fleet::fleet_budgets &Budgets = Gateway.Fleet->budgets();
-  if (NotAdmitted)
+  // Few instances watch nothing; there such requests count for early probes.
+  const bool Watches = Gateway.Fleet->reachablePart().Instances >=
+                       Gateway.Settings.Forward.Probing.MinWatchInstances;
+  if (NotAdmitted && Watches)
     Budgets.countNotAdmitted(fleet::usageKey(Service), Gateway.Loop.now());
   else
     Budgets.countFailed(fleet::usageKey(Service), Gateway.Loop.now());
