--- a/Source/Core/Placement/TargetSet.cpp
+++ b/Source/Core/Placement/TargetSet.cpp
@@ -197,7 +197,7 @@
     Cost += Settings.OtherDomainCost;
   if (Target.IdleConnections == 0)
     Cost += Settings.NewConnectionCost;
-  Cost += MaxWarmupCost * std::min(1.0, secondsOf(Target.warmupLeft(Now)));
+  Cost += MaxWarmupCost * std::min(1.0, secondsOf(Target.coldFor(Now)));
   return Cost;
 }
 
--- a/Source/Core/Placement/TargetSet.h
+++ b/Source/Core/Placement/TargetSet.h
@@ -141,7 +141,7 @@
   bool isAvailable() const { return !isDraining() && !Evacuated; }
 
   /// How long it stays cold by what it said last; zero if it is warm.
-  duration warmupLeft(boot_time Now) const {
+  duration coldFor(boot_time Now) const {
     return std::max(std::max(ReportedAt + Entry.WarmupLeft, SaidWarmFrom) - Now,
                     duration::zero());
   }
--- a/Source/UnitTests/Placement/TargetSetTest.cpp
+++ b/Source/UnitTests/Placement/TargetSetTest.cpp
@@ -132,35 +132,35 @@
     SUBCASE("for as long as it says") {
       Now += milliseconds(500);
       Targets.put(Entry, Now);
-      CHECK(Cold.warmupLeft(Now) == milliseconds(1500));
+      CHECK(Cold.coldFor(Now) == milliseconds(1500));
       Now += milliseconds(1500);
-      CHECK(Cold.warmupLeft(Now) == milliseconds(0));
+      CHECK(Cold.coldFor(Now) == milliseconds(0));
       CHECK(Draw(400)["a"] > 70);
     }
     SUBCASE("and is limited for what its reports may leave unsaid, too") {
       Entry.Sequence = 3;
       Entry.WarmupLeft = milliseconds(2100);
       Targets.put(Entry, Now);
-      CHECK(Cold.warmupLeft(Now) == milliseconds(2100));
+      CHECK(Cold.coldFor(Now) == milliseconds(2100));
       CHECK(Cold.limitedFor(Now) == seconds(4));
     }
     SUBCASE("until a later report says that it is warm") {
       Entry.Sequence = 3;
       Entry.WarmupLeft = seconds(0);
       Targets.put(Entry, Now);
-      CHECK(Cold.warmupLeft(Now) == seconds(0));
+      CHECK(Cold.coldFor(Now) == seconds(0));
     }
     SUBCASE("also while its responses alone say so") {
       Targets.find("a")->SaidWarmFrom = Now + seconds(7);
-      CHECK(Cold.warmupLeft(Now) == seconds(7));
+      CHECK(Cold.coldFor(Now) == seconds(7));
       Targets.find("a")->SaidWarmFrom = Now;
-      CHECK(Cold.warmupLeft(Now) == seconds(2));
+      CHECK(Cold.coldFor(Now) == seconds(2));
     }
     SUBCASE("and not in its next incarnation") {
       Entry.StartedUnixMs = 2;
       Entry.WarmupLeft = seconds(0);
       Targets.put(Entry, Now);
-      CHECK(Targets.find("a")->warmupLeft(Now) == seconds(0));
+      CHECK(Targets.find("a")->coldFor(Now) == seconds(0));
     }
   }
   SUBCASE("as a probe one that few instances send to as often as another") {
