--- a/review/standins-2.hh
+++ b/review/standins-2.hh
@@ -50,8 +50,7 @@
 
 /// Seconds since the start of the program.
 inline double now() {
-  return std::chrono::duration<double>(std::chrono::steady_clock::now() -
-                                       Began)
+  return std::chrono::duration<double>(std::chrono::steady_clock::now() - Began)
       .count();
 }
 
@@ -151,8 +150,8 @@
     const int Tcp = listenOn(Ip, Port);
     const int Udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
     sockaddr_in Address = addressOf(Ip, Port);
-    const bool Free = bind(Udp, reinterpret_cast<sockaddr *>(&Address),
-                           sizeof(Address)) == 0;
+    const bool Free =
+        bind(Udp, reinterpret_cast<sockaddr *>(&Address), sizeof(Address)) == 0;
     close(Tcp);
     close(Udp);
     if (Free && Given.insert({Ip, Port}).second)
@@ -209,8 +208,12 @@
   channel(const channel &) = delete;
   channel &operator=(const channel &) = delete;
 
-  static std::unique_ptr<channel> connect(const std::string &Ip, int Port) {
+  /// \p Window: bytes that the system holds for the reader; 0: its own choice.
+  static std::unique_ptr<channel> connect(const std::string &Ip, int Port,
+                                          int Window = 0) {
     const int Fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (Window > 0)
+      setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &Window, sizeof(Window));
     const sockaddr_in Address = addressOf(Ip, Port);
     if (::connect(Fd, reinterpret_cast<const sockaddr *>(&Address),
                   sizeof(Address)) != 0) {
@@ -271,8 +274,8 @@
           Line.substr(0, Colon),
           Begin == std::string::npos ? "" : Line.substr(Begin));
     }
-    const size_t Length = std::strtoul(
-        Message.get("Content-Length").c_str(), nullptr, 10);
+    const size_t Length =
+        std::strtoul(Message.get("Content-Length").c_str(), nullptr, 10);
     while (Buffer.size() < HeadEnd + 4 + Length)
       if (!fill(Deadline))
         return false;
@@ -461,7 +464,8 @@
 
   /// A copy of what the store holds, and the store's return from it.
   struct copy {
-    std::map<std::string, std::map<std::string, std::pair<uint64_t, std::string>>>
+    std::map<std::string,
+             std::map<std::string, std::pair<uint64_t, std::string>>>
         Tables;
     uint64_t Version = 0;
   };
@@ -554,8 +558,8 @@
 
   bool feed(channel &Channel, const message &Request) {
     const std::string Table = parameter(Request.target(), "table");
-    const uint64_t After =
-        std::strtoull(parameter(Request.target(), "after").c_str(), nullptr, 10);
+    const uint64_t After = std::strtoull(
+        parameter(Request.target(), "after").c_str(), nullptr, 10);
     const double Wait =
         std::atof(parameter(Request.target(), "waitMs").c_str()) / 1000;
     std::unique_lock Lock(Mutex);
@@ -606,9 +610,9 @@
     }
     for (const json &Row : Body.at("remove"))
       write(Row.at("table"), Row.at("key"), nullptr);
-    return reply(Channel, 200,
-                 {{"ver", Version},
-                  {"now", static_cast<uint64_t>(now() * 1000)}});
+    return reply(
+        Channel, 200,
+        {{"ver", Version}, {"now", static_cast<uint64_t>(now() * 1000)}});
   }
 
   std::mutex Mutex;
@@ -684,11 +688,11 @@
   }
   std::string signedAnswer(const message &Request, int Status,
                            const std::string &Body) const {
-    return answer(
-        Status,
-        {{"X-Magnoliafall-Request-Id", Request.get("X-Magnoliafall-Request-Id")},
-         {"X-Magnoliafall-Response-Signature", "sig-" + Id}},
-        Body);
+    return answer(Status,
+                  {{"X-Magnoliafall-Request-Id",
+                    Request.get("X-Magnoliafall-Request-Id")},
+                   {"X-Magnoliafall-Response-Signature", "sig-" + Id}},
+                  Body);
   }
 
   const std::string Id, Service, Zone;
@@ -761,11 +765,11 @@
 class instance {
 public:
   instance(std::string GivenName, std::string GivenZone, std::string GivenIp,
-           const store &Store, const std::string &Folder)
+           const store &Store, const std::string &Folder, int MemoryMb)
       : Name(std::move(GivenName)), Zone(std::move(GivenZone)),
         Ip(std::move(GivenIp)), Folder(Folder), Frontend(freePort(Ip)),
         Ready(freePort(Ip)), Registry(freePort(Ip)), Peer(freePort(Ip)),
-        StoreAddress(Store.Server.address()) {
+        MemoryMb(MemoryMb), StoreAddress(Store.Server.address()) {
     writeSettings();
   }
 
@@ -775,16 +779,17 @@
     std::ofstream(settings())
         << "log_level: info\nidentity:\n  name: \"" << Name
         << "\"\n  failure_domain: \"" << Zone << "\"\n  ip: \"" << Ip
-        << "\"\nlisten:\n  callers: \"" << At(Frontend)
-        << "\"\n  readiness: \"" << At(Ready) << "\"\n  directory: \""
-        << At(Registry) << "\"\n  metrics: \"" << At(freePort(Ip))
+        << "\"\nlisten:\n  callers: \"" << At(Frontend) << "\"\n  readiness: \""
+        << At(Ready) << "\"\n  directory: \"" << At(Registry)
+        << "\"\n  metrics: \"" << At(freePort(Ip))
         << "\"\n  peer_port: " << Peer
         << "\nfailure_domains:\n  - { name: \"trnava\", region: \"sk-west\" }\n"
            "  - { name: \"nitra\", region: \"sk-west\" }\n"
            "  - { name: \"senica\", region: \"sk-west\" }\nstore:\n"
            "  address: \""
         << StoreAddress
-        << "\"\nmachine:\n  descriptors: 10933\n  memory_mb: 693\n"
+        << "\"\nmachine:\n  descriptors: 10933\n  memory_mb: " << MemoryMb
+        << "\n"
            "  processor_share: \"0.53\"\n  processor_speed: \"1\"\n"
            "  link_mbits: \"2700.0\"\nbounds:\n  directory_keep: \"5s\"\n"
            "  stop_grace: \"6s\"\n  retry_ratio: 0.2\n  retry_slack: 60\n"
@@ -817,7 +822,8 @@
   bool ready() const {
     const auto Channel = channel::connect(Ip, Ready);
     message Answer;
-    return Channel && Channel->write("GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n") &&
+    return Channel &&
+           Channel->write("GET /readyz HTTP/1.1\r\nHost: r\r\n\r\n") &&
            Channel->read(Answer, now() + 1) && Answer.status() == 200;
   }
 
@@ -859,22 +865,24 @@
   std::string End;
 
 private:
+  const int MemoryMb;
   const std::string StoreAddress;
 };
 
 // --------------------------------------------------------------- consumers
 
 /// A request of a consumer. Its id is its own.
-inline std::string requestText(
-    const std::string &Method, const std::string &Path, const std::string &Id,
-    int DeadlineMs, int WorkMs, const std::string &Body = "",
-    const std::string &Key = "key-club") {
-  std::string Text = Method + " " + Path +
-                     " HTTP/1.1\r\nHost: gloves.example\r\n"
-                     "X-Magnoliafall-Request-Id: " +
-                     Id + "\r\nX-Magnoliafall-Deadline-Ms: " +
-                     std::to_string(DeadlineMs) +
-                     "\r\nX-Work-Ms: " + std::to_string(WorkMs) + "\r\n";
+inline std::string requestText(const std::string &Method,
+                               const std::string &Path, const std::string &Id,
+                               int DeadlineMs, int WorkMs,
+                               const std::string &Body = "",
+                               const std::string &Key = "key-club") {
+  std::string Text =
+      Method + " " + Path +
+      " HTTP/1.1\r\nHost: gloves.example\r\n"
+      "X-Magnoliafall-Request-Id: " +
+      Id + "\r\nX-Magnoliafall-Deadline-Ms: " + std::to_string(DeadlineMs) +
+      "\r\nX-Work-Ms: " + std::to_string(WorkMs) + "\r\n";
   if (!Key.empty())
     Text += "Api-Key: " + Key + "\r\n";
   if (Method != "GET")
@@ -885,40 +893,40 @@
 /// A desired state like that of sokol-gw: the time-outs are the sheet's time
 /// limits.
 inline json desiredState(int Version) {
-  return {
-      {"version", Version},
-      {"routes",
-       {{"columns",
-         {"name", "host", "prefix", "routeType", "timeout", "targetLatency",
-          "priority", "service", "maxAttempts", "public", "trafficSplit"}},
-        {"rows",
-         {{"r-catalogue", "gloves.example", "/catalogue/", "safe", "4000ms",
-           "2000ms", 2, "catalogue", 2, false, nullptr},
-          {"r-orders", "gloves.example", "/orders/", "unsafe", "5000ms",
-           "2000ms", 1, "orders", 2, false, nullptr},
-          {"r-fitting", "gloves.example", "/fitting/", "safe", "8000ms",
-           "3000ms", 2, "fitting", 2, false, nullptr}}}}},
-      {"services",
-       {{"columns", {"name", "healthPath", "maxConnections", "protocol", "tls"}},
-        {"rows",
-         {{"catalogue", "/healthz", 360, "h1", false},
-          {"orders", "/healthz", 360, "h1", false},
-          {"fitting", "/healthz", 360, "h1", false}}}}},
-      {"limits",
-       {{"maxHeaderBytes", 16384},
-        {"maxBodyBytes", 67108864},
-        {"headerTimeout", "3000ms"},
-        {"idleTimeout", "15000ms"}}},
-      {"tenants",
-       {{"columns", {"name", "apiKeys", "priority", "ratePerS", "burst"}},
-        {"rows", {{"club", {"key-club"}, 0, 0, 0}}}}}};
+  return {{"version", Version},
+          {"routes",
+           {{"columns",
+             {"name", "host", "prefix", "routeType", "timeout", "targetLatency",
+              "priority", "service", "maxAttempts", "public", "trafficSplit"}},
+            {"rows",
+             {{"r-catalogue", "gloves.example", "/catalogue/", "safe", "4000ms",
+               "2000ms", 2, "catalogue", 2, false, nullptr},
+              {"r-orders", "gloves.example", "/orders/", "unsafe", "5000ms",
+               "2000ms", 1, "orders", 2, false, nullptr},
+              {"r-fitting", "gloves.example", "/fitting/", "safe", "8000ms",
+               "3000ms", 2, "fitting", 2, false, nullptr}}}}},
+          {"services",
+           {{"columns",
+             {"name", "healthPath", "maxConnections", "protocol", "tls"}},
+            {"rows",
+             {{"catalogue", "/healthz", 360, "h1", false},
+              {"orders", "/healthz", 360, "h1", false},
+              {"fitting", "/healthz", 360, "h1", false}}}}},
+          {"limits",
+           {{"maxHeaderBytes", 16384},
+            {"maxBodyBytes", 67108864},
+            {"headerTimeout", "3000ms"},
+            {"idleTimeout", "15000ms"}}},
+          {"tenants",
+           {{"columns", {"name", "apiKeys", "priority", "ratePerS", "burst"}},
+            {"rows", {{"club", {"key-club"}, 0, 0, 0}}}}}};
 }
 
 /// Store, endpoints and instances of a small deployment, in a folder of their
 /// own.
 class fleet {
 public:
-  explicit fleet(int InstanceCount) {
+  explicit fleet(int InstanceCount, int MemoryMb = 693) {
     std::string Pattern = "/tmp/magnolia-review-XXXXXX";
     if (mkdtemp(Pattern.data()) == nullptr)
       giveUp("no temporary folder");
@@ -931,7 +939,7 @@
       Instances.push_back(std::make_unique<instance>(
           "edge-" + std::string(Zones[Number % 3]) + "-" +
               std::to_string(Number / 3 + 1),
-          Zones[Number % 3], ipOf(10 + Number), *Store, Folder));
+          Zones[Number % 3], ipOf(10 + Number), *Store, Folder, MemoryMb));
   }
   [[noreturn]] void end(int Result) {
     Instances.clear();
@@ -939,8 +947,8 @@
   }
   endpoint &add(const std::string &Id, const std::string &Service,
                 const std::string &Zone, int Slots = 6) {
-    Endpoints.push_back(std::make_unique<endpoint>(*Store, ipOf(2), Id, Service,
-                                                   Zone, Slots));
+    Endpoints.push_back(
+        std::make_unique<endpoint>(*Store, ipOf(2), Id, Service, Zone, Slots));
     return *Endpoints.back();
   }
   void start() {
