--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -1,17 +1,22 @@
-// Consumers whose HTTP library offers a newer protocol in the header Upgrade,
-// which concerns only the one channel. See claim.txt.
+// The operator takes a key away and lifts a route's time-out in one desired
+// state. See claim.txt.
 #include "../standins-2.hh"
 
 using namespace review;
 
 namespace {
 
-constexpr int Requests = 12;
+constexpr double ConfigApply = 2.0;
 
-/// What such a library adds to a request on a plain channel.
-const char *const Offer = "Connection: Upgrade, HTTP2-Settings\r\n"
-                          "Upgrade: h2c\r\n"
-                          "HTTP2-Settings: AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA\r\n";
+json stateWith(int Version, bool HasSecondKey, const char *Timeout) {
+  json State = desiredState(Version);
+  for (json &Row : State["routes"]["rows"])
+    if (Row[0] == "r-fitting")
+      Row[4] = Timeout;
+  if (HasSecondKey)
+    State["tenants"]["rows"][0][1].push_back("key-lost");
+  return State;
+}
 
 } // namespace
 
@@ -21,43 +26,50 @@
   record::open(std::string(Words[1]) + "/record.txt");
   const bool Trouble = hasTrouble();
   fleet Fleet(3);
-  for (const char *Zone : {"trnava", "nitra", "senica"}) {
+  Fleet.Store->put("op", "config", stateWith(3, true, "8000ms").dump());
+  for (const char *Zone : {"trnava", "nitra", "senica"})
     Fleet.add(std::string("i-ord-") + Zone, "orders", Zone);
-    Fleet.add(std::string("i-cat-") + Zone, "catalogue", Zone);
-  }
   Fleet.start();
   sleepFor(4); // calm for longer than contact
 
-  int Denied = 0;
-  int Served = 0;
-  for (int Number = 0; Number < Requests; ++Number) {
-    const instance &At = *Fleet.Instances[static_cast<size_t>(Number) % 3];
-    const auto Channel = channel::connect(At.Ip, At.Frontend);
-    if (!Channel)
-      giveUp("no channel to an instance");
-    const bool IsOrder = Number % 2 == 0;
-    const std::string Id = "request-" + std::to_string(Number + 1);
-    std::string Text =
-        IsOrder ? requestText("POST", "/orders/" + Id, Id, 5000, 50, "gloves")
-                : requestText("GET", "/catalogue/" + Id, Id, 4000, 50);
-    if (Trouble)
-      Text.insert(Text.find("\r\n") + 2, Offer);
-    Channel->write(Text);
-    message Answer;
-    const bool Answered = Channel->read(Answer, now() + 6);
-    const int Status = Answered ? Answer.status() : 0;
-    const bool Own = !Answer.has("X-Magnoliafall-Response-Signature");
-    record::line("%s, %s, %s the offer: %d%s", Id.c_str(),
-                 IsOrder ? "an order" : "a lookup", Trouble ? "with" : "without",
-                 Status, Own ? "" : ", signed by an endpoint");
-    Served += Status == 200 && !Own;
-    Denied += Answered && Own && Status >= 300 && Status < 500 &&
-              Status != 408 && Status != 421 && Status != 429;
+  int Sent = 0;
+  const auto Order = [&](const std::string &Key) {
+    int Served = 0;
+    for (const auto &At : Fleet.Instances) {
+      const std::string Id = "order-" + std::to_string(++Sent);
+      const auto Channel = channel::connect(At->Ip, At->Frontend);
+      message Answer;
+      if (!Channel ||
+          !Channel->write(requestText("POST", "/orders/" + Id, Id, 5000, 50,
+                                      "gloves", Key)) ||
+          !Channel->read(Answer, now() + 6))
+        giveUp("an order got no answer");
+      record::line("%s with %s at %s: %d", Id.c_str(), Key.c_str(),
+                   At->Name.c_str(), Answer.status());
+      Served += Answer.status() == 200;
+    }
+    return Served;
+  };
+
+  if (Order("key-lost") != 3)
+    giveUp("the key is not known at first");
+  const char *Timeout = Trouble ? "172800s" : "9000ms";
+  Fleet.Store->put("op", "config", stateWith(8, false, Timeout).dump());
+  const double Confirmed = now();
+  record::line("the store confirms version 8: key-lost is taken away, the "
+               "timeout of /fitting/ is %s",
+               Timeout);
+  int Late = 0;
+  for (const double After : {ConfigApply + 1, 10.0, 20.0}) {
+    sleepUntil(Confirmed + After);
+    const int Served = Order("key-lost");
+    record::line("%.0f s after the confirmation: %d of 3 instances run orders "
+                 "with the dropped key",
+                 After, Served);
+    Late += Served;
   }
-  const int Allowed = 5 + Requests / 500;
-  record::line("of %d proper requests %d were served and %d ended with a 4xx "
-               "of the system's own, %d are allowed: DENIED %s",
-               Requests, Served, Denied, Allowed,
-               Denied > Allowed ? "is broken" : "held");
-  Fleet.end(Denied > Allowed ? Broken : Held);
+  record::line("%d orders ran with a dropped key, later than configApply: "
+               "CONFIG %s",
+               Late, Late > 0 ? "is broken" : "held");
+  Fleet.end(Late > 0 ? Broken : Held);
 }
