--- a/Source/Core/Common/ErrorKind.cpp
+++ b/Source/Core/Common/ErrorKind.cpp
@@ -43,6 +43,7 @@
     {"configuration_missing", 503, NotRun, RetryLater},
     {"configuration_stale", 503, NotRun, RetryLater},
     {"instance_leaving", 503, NotRun, RetrySoon},
+    {"instance_ended", 504, Unknown, RetrySoon},
     {"instance_overloaded", 503, NotRun, RetryLater},
     {"target_unreachable", 502, NotRun, RetrySoon},
     {"target_refused", 503, NotRun, RetrySoon},
--- a/Source/Core/Common/ErrorKind.h
+++ b/Source/Core/Common/ErrorKind.h
@@ -43,6 +43,8 @@
   ConfigurationMissing,
   ConfigurationStale,
   InstanceLeaving,
+  /// This instance ends before the target has responded.
+  InstanceEnded,
   /// Messages hold nearly all memory that they may.
   InstanceOverloaded,
   TargetUnreachable,
--- a/Source/Gateway/Exchange.h
+++ b/Source/Gateway/Exchange.h
@@ -143,6 +143,8 @@
 
   // Completion.
   void onDeadline();
+  /// Responds without waiting any longer, since this instance ends.
+  void onInstanceEnd();
   void refuse(common::error_kind Kind, std::string_view Detail,
               std::optional<duration> RetryAfter = std::nullopt);
   void forwardResponse(message::response Response);
--- a/Source/Gateway/ExchangeAdmission.cpp
+++ b/Source/Gateway/ExchangeAdmission.cpp
@@ -54,6 +54,7 @@
     Self->logOutcome("caller_gone", 0, "the caller left");
     Self->finish();
   };
+  Call->OnServerEnd = [Self] { Self->onInstanceEnd(); };
   DeadlineTimer =
       Gateway.Loop.callAfter(timeLeft(), [Self] { Self->onDeadline(); });
   takeRank();
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
@@ -291,6 +292,19 @@
     refuse(error_kind::NoTargetAvailable, "no target took the request in time");
 }
 
+void exchange::onInstanceEnd() {
+  if (Done)
+    return;
+  if (TargetError) {
+    forwardResponse(std::move(*TargetError));
+    return;
+  }
+  if (MayHaveRun)
+    refuse(error_kind::InstanceEnded, "this instance ends before the target");
+  else
+    refuse(error_kind::InstanceLeaving, "this instance ends, nothing was sent");
+}
+
 void exchange::logOutcome(std::string_view Outcome, int Status,
                           std::string_view Detail) {
   const duration Took = Gateway.Loop.now() - Call->Arrived;
@@ -406,10 +420,10 @@
   }
   leaveQueue(ReturnedSuccess ? admission::slot_use::Completed
                              : admission::slot_use::Failed);
-  // The hook owns this object; it is kept until no hook runs.
-  Gateway.Loop.retire(
-      std::make_shared<std::function<void()>>(std::move(Call->OnDisconnect)));
-  Call->OnDisconnect = nullptr;
+  // The hooks own this object; it is kept until no hook runs.
+  for (auto *Hook : {&Call->OnDisconnect, &Call->OnServerEnd})
+    Gateway.Loop.retire(
+        std::make_shared<std::function<void()>>(std::exchange(*Hook, nullptr)));
 }
 
 } // namespace magnolia::gateway
--- a/Source/Gateway/Gateway.h
+++ b/Source/Gateway/Gateway.h
@@ -232,7 +232,11 @@
   void limitSecondSends(const std::optional<fleet::second_send_limit> &Limit);
   /// Logs when the belief changes that targets hang.
   void logFailureMode();
+  /// Calls continueShutdown() after a while, or when the next step is due.
+  void scheduleShutdown();
   void continueShutdown();
+  admission::shutdown_plan shutdownPlan() const;
+  void logExit(duration Elapsed) const;
   /// Whether a graceful shutdown is so far advanced that a request with the
   /// deadline \p RespondBy must be refused.
   bool mustReject(boot_time RespondBy) const;
--- a/Source/Gateway/Settings.h
+++ b/Source/Gateway/Settings.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "Admission/ShutdownPlan.h"
 #include "Fleet/ColdTargets.h"
 #include "Fleet/CollectorChoice.h"
 #include "Fleet/FetchPlan.h"
@@ -109,20 +110,6 @@
   duration FullUpdatePeriod = std::chrono::milliseconds(2000);
 };
 
-/// Graceful shutdown.
-struct shutdown_settings {
-  /// The process is killed from outside after this time.
-  duration Grace = std::chrono::seconds(6);
-  /// After this time only requests are accepted whose deadline is before the
-  /// exit. By then all callers have a new directory response. Requests accepted
-  /// earlier may be cut off by the exit.
-  duration AcceptAllPeriod = std::chrono::seconds(3);
-  /// New connections are accepted until this much of the grace time is left.
-  duration StopListeningBefore = std::chrono::milliseconds(1000);
-  /// The process exits at the latest when this much of the grace time is left.
-  duration ExitBefore = std::chrono::milliseconds(150);
-};
-
 struct settings {
   /// Empty addresses are replaced by the bound ones.
   fleet::instance_identity Identity;
@@ -138,7 +125,7 @@
   forward_settings Forward;
   follow_settings Follow;
   update_settings Updates;
-  shutdown_settings Shutdown;
+  admission::shutdown_settings Shutdown;
   queue_settings Queues;
   fleet::budget_settings Budget;
   fleet::limit_settings Limits;
--- a/Source/Net/Event/EventLoop.h
+++ b/Source/Net/Event/EventLoop.h
@@ -68,6 +68,7 @@
 
   /// Ends run() after the current round of hooks.
   void stop() { Stopping = true; }
+  bool isStopping() const { return Stopping; }
 
   /// Calls \p Hook on the loop's thread. Safe from other threads.
   void post(hook Hook);
--- a/Source/Net/Message/HttpServer.cpp
+++ b/Source/Net/Message/HttpServer.cpp
@@ -1,7 +1,6 @@
 #include "Net/Message/HttpServer.h"
 
 #include <unistd.h>
-#include <vector>
 
 namespace magnolia::message {
 
@@ -40,13 +39,35 @@
 }
 
 void http_server::closeIdleConnections() {
-  // Closing a connection removes it from the set.
-  const std::vector<std::shared_ptr<server_connection>> Open(
-      Connections.begin(), Connections.end());
-  for (const auto &Connection : Open)
+  for (const auto &Connection : openConnections())
     Connection->closeIfIdle();
 }
 
+void http_server::endBlocking(
+    const std::function<bool(const admission::blocked_responses &Blocked,
+                             size_t AllBytes)> &IsDue) {
+  size_t AllBytes = 0;
+  for (const auto &Connection : Connections)
+    AllBytes += Connection->blockedResponses().Bytes;
+  for (const auto &Connection : openConnections()) {
+    const admission::blocked_responses Blocked = Connection->blockedResponses();
+    if (Blocked.Count > 0 && IsDue(Blocked, AllBytes))
+      Connection->endBlocking();
+  }
+}
+
+void http_server::endUnanswered() {
+  for (const auto &Connection : openConnections())
+    Connection->endUnanswered();
+}
+
+size_t http_server::unsentBytes() const {
+  size_t Bytes = 0;
+  for (const auto &Connection : Connections)
+    Bytes += Connection->unsentBytes();
+  return Bytes;
+}
+
 size_t http_server::pendingRequests() const {
   size_t Count = 0;
   for (const auto &Connection : Connections)
--- a/Source/Net/Message/HttpServer.h
+++ b/Source/Net/Message/HttpServer.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <functional>
 #include <memory>
+#include <vector>
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/status/statusor.h>
@@ -27,8 +29,18 @@
   /// Closes the connections on which no request is being read or served.
   void closeIdleConnections();
 
+  /// Ends the requests behind which complete responses wait, on connections
+  /// where \p IsDue; \p AllBytes: of such responses on all connections.
+  void endBlocking(
+      const std::function<bool(const admission::blocked_responses &Blocked,
+                               size_t AllBytes)> &IsDue);
+  /// Ends all requests that have no response.
+  void endUnanswered();
+
   /// Requests that were read and have no response yet.
   size_t pendingRequests() const;
+  /// Bytes of responses that were not passed to the system yet.
+  size_t unsentBytes() const;
   size_t connections() const { return Connections.size(); }
   const std::string &address() const { return Address; }
 
@@ -37,6 +49,11 @@
               size_t ConnectionLimit)
       : Loop(Loop), Hooks(std::move(Hooks)), ConnectionLimit(ConnectionLimit) {}
   void accept(int Descriptor);
+  using connection_list = std::vector<std::shared_ptr<server_connection>>;
+  /// A copy: connections that close leave the set.
+  connection_list openConnections() const {
+    return {Connections.begin(), Connections.end()};
+  }
 
   event::event_loop &Loop;
   const server_hooks Hooks;
--- a/Source/Net/Message/ServerConnection.cpp
+++ b/Source/Net/Message/ServerConnection.cpp
@@ -365,6 +365,41 @@
     closeNow();
 }
 
+size_t server_connection::endOfBlocking() const {
+  // Calls that are responded to at the front have been sent.
+  size_t End = Calls.size();
+  while (End > 0 && !Calls[End - 1]->Responded)
+    --End;
+  return End;
+}
+
+admission::blocked_responses server_connection::blockedResponses() const {
+  admission::blocked_responses Blocked;
+  for (const auto &Call : Calls) {
+    if (!Call->Responded)
+      continue;
+    ++Blocked.Count;
+    Blocked.Bytes += Call->Response.Body.size();
+  }
+  return Blocked;
+}
+
+void server_connection::endBlocking() { endFirst(endOfBlocking()); }
+
+void server_connection::endUnanswered() { endFirst(Calls.size()); }
+
+void server_connection::endFirst(size_t Count) {
+  const auto Self = shared_from_this();
+  // Calls that respond leave the queue.
+  const std::vector<std::shared_ptr<server_call>> Ended(
+      Calls.begin(), Calls.begin() + static_cast<ptrdiff_t>(Count));
+  for (const auto &Call : Ended) {
+    const auto OnServerEnd = Call->OnServerEnd;
+    if (!Call->Responded && OnServerEnd)
+      OnServerEnd();
+  }
+}
+
 void server_connection::armTimer() {
   const bool ReadingHead = Reader.inMessage() && !Reader.headRead();
   const boot_time Due = ReadingHead ? MessageStart + Limits.HeadTimeout
--- a/Source/Net/Message/ServerConnection.h
+++ b/Source/Net/Message/ServerConnection.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <vector>
 
+#include "Admission/ShutdownPlan.h"
 #include "Admission/UnfetchedAnswers.h"
 #include "Net/Event/EventLoop.h"
 #include "Net/Event/TcpStream.h"
@@ -53,6 +54,9 @@
   /// Called when the response was given up since the caller had not fetched it
   /// and others needed the memory.
   std::function<void(const abandoned_response &)> OnAbandoned;
+  /// Called when the request must be responded to at once, since its server
+  /// ends.
+  std::function<void()> OnServerEnd;
 
   /// Sets the response; only the first call counts.
   void respond(response Response);
@@ -96,6 +100,15 @@
   void closeIfIdle();
 
   size_t pendingRequests() const { return Calls.size(); }
+  /// Bytes of responses that were not passed to the system yet.
+  size_t unsentBytes() const { return Stream->unsent(); }
+
+  /// Complete responses that wait behind a request without one.
+  admission::blocked_responses blockedResponses() const;
+  /// Ends the requests for which complete responses wait.
+  void endBlocking();
+  /// Ends all requests without a response.
+  void endUnanswered();
 
 private:
   server_connection(event::event_loop &Loop, const server_hooks &Hooks,
@@ -125,6 +138,10 @@
   void respondUnread(response Response);
   void sendResponses();
   void sendContinue();
+  /// The end of the calls that stand before the last complete response.
+  size_t endOfBlocking() const;
+  /// Ends those of the first \p Count calls that have no response.
+  void endFirst(size_t Count);
   void finish();
   /// Waits until the caller has fetched the last response or stops to.
   void linger(size_t UnsentBefore);
