--- a/Source/Core/Common/Time.h
+++ b/Source/Core/Common/Time.h
@@ -22,6 +22,11 @@
 
 using boot_time = boot_clock::time_point;
 
+/// A hundred years. Longer times that others state are taken as this one, so
+/// that no sum with a clock's time overflows.
+inline constexpr boot_clock::duration LongestDuration =
+    std::chrono::hours(24 * 365 * 100);
+
 /// Wall-clock time in microseconds since 1970-01-01 UTC, comparable between
 /// instances up to their clock skew.
 using wall_time = std::chrono::time_point<std::chrono::system_clock,
--- a/Source/Core/Common/YamlReader.cpp
+++ b/Source/Core/Common/YamlReader.cpp
@@ -30,25 +30,46 @@
     {"h", std::chrono::hours(1)},
 };
 
-} // namespace
+/// Just below the maximum of int64_t.
+constexpr double MaxMicros = 9e18;
 
-std::optional<microseconds> parseDuration(std::string_view Text) {
+/// Infinite for a number that is too large for its type.
+std::optional<double> parseMicros(std::string_view Text) {
   for (const duration_unit &Unit : DurationUnits) {
     if (!Text.ends_with(Unit.Suffix))
       continue;
     double Count = 0;
     Text.remove_suffix(Unit.Suffix.size());
-    if (!absl::SimpleAtod(toAbsl(Text), &Count) || !(Count >= 0))
-      return std::nullopt;
-    const double Micros = Count * static_cast<double>(Unit.Length.count());
-    // Just below the maximum of int64_t.
-    if (!(Micros < 9e18))
+    // Words such as "inf" are no numbers.
+    const bool IsNumber =
+        !Text.empty() &&
+        Text.find_first_not_of("0123456789.+-eE ") == std::string_view::npos;
+    if (!IsNumber || !absl::SimpleAtod(toAbsl(Text), &Count) || !(Count >= 0))
       return std::nullopt;
-    return microseconds(static_cast<int64_t>(Micros));
+    return Count * static_cast<double>(Unit.Length.count());
   }
   return std::nullopt;
 }
 
+} // namespace
+
+std::optional<microseconds> parseDuration(std::string_view Text) {
+  const auto Micros = parseMicros(Text);
+  if (!Micros || !(*Micros < MaxMicros))
+    return std::nullopt;
+  return microseconds(static_cast<int64_t>(*Micros));
+}
+
+std::optional<microseconds> parseDurationUpTo(std::string_view Text,
+                                              microseconds Longest) {
+  const auto Micros = parseMicros(Text);
+  if (!Micros)
+    return std::nullopt;
+  if (*Micros >= static_cast<double>(Longest.count()))
+    return Longest;
+  return microseconds(static_cast<int64_t>(*Micros));
+}
+
 bool isAddress(std::string_view Text) {
   const size_t Colon = Text.rfind(':');
   if (Colon == std::string_view::npos)
--- a/Source/Core/Common/YamlReader.h
+++ b/Source/Core/Common/YamlReader.h
@@ -111,6 +111,10 @@
 /// Parses a duration with its unit ("1500ms", "2.5s"); empty for anything else.
 std::optional<std::chrono::microseconds> parseDuration(std::string_view Text);
 
+/// The same; a duration above \p Longest is taken as that one.
+std::optional<std::chrono::microseconds>
+parseDurationUpTo(std::string_view Text, std::chrono::microseconds Longest);
+
 /// The whole content of the file at \p Path.
 absl::StatusOr<std::string> readFile(const std::string &Path);
 
--- a/Source/Core/Routing/Configuration.h
+++ b/Source/Core/Routing/Configuration.h
@@ -18,7 +18,7 @@
 /// A service and its share of a route's requests.
 struct split_part {
   std::string Service;
-  uint32_t Weight = 0;
+  uint64_t Weight = 0;
 
   friend bool operator==(const split_part &, const split_part &) = default;
 };
--- a/Source/Core/Routing/SplitChooser.cpp
+++ b/Source/Core/Routing/SplitChooser.cpp
@@ -19,8 +19,9 @@
   double Total = 0;
   size_t Best = 0;
   for (size_t Index = 0; Index < State.Parts.size(); ++Index) {
-    Total += State.Parts[Index].Weight;
-    State.Credits[Index] += State.Parts[Index].Weight;
+    const auto Weight = static_cast<double>(State.Parts[Index].Weight);
+    Total += Weight;
+    State.Credits[Index] += Weight;
     if (State.Credits[Index] > State.Credits[Best])
       Best = Index;
   }
--- a/Source/Gateway/ExchangeAdmission.cpp
+++ b/Source/Gateway/ExchangeAdmission.cpp
@@ -15,6 +15,11 @@
 
 namespace {
 
+/// A caller that would wait longer counts as waiting this long.
+constexpr auto LongestWait =
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+        common::LongestDuration);
+
 /// When a caller whose request got no turn may come back.
 std::optional<duration> retryAfterOf(const admission::turn_inputs &Inputs) {
   constexpr std::chrono::milliseconds Longest{5000};
@@ -135,7 +140,8 @@
   int64_t Millis = 0;
   if (DeadlineHeader && absl::SimpleAtoi(toAbsl(*DeadlineHeader), &Millis) &&
       Millis > 0)
-    CallerDeadline = Call->Arrived + std::chrono::milliseconds(Millis);
+    CallerDeadline = Call->Arrived +
+                     std::min(std::chrono::milliseconds(Millis), LongestWait);
   RespondBy = std::min(CallerDeadline, Call->Arrived + Route->Timeout);
   if (timeLeft() > duration::zero())
     return true;
--- a/Source/Net/Message/HttpClient.cpp
+++ b/Source/Net/Message/HttpClient.cpp
@@ -16,6 +16,10 @@
 /// A server that sends more interim responses, or responses to other requests,
 /// may never send the one that is awaited.
 constexpr size_t MaxSkipped = 16;
+/// A server that announces a longer one counts as keeping connections this
+/// long.
+constexpr auto LongestIdleTimeout =
+    std::chrono::duration_cast<std::chrono::seconds>(common::LongestDuration);
 
 /// Parses the timeout of a Keep-Alive header such as "timeout=5".
 std::optional<duration> idleTimeoutOf(const header_list &Headers) {
@@ -26,8 +30,8 @@
     Part = absl::StripAsciiWhitespace(Part);
     int64_t Seconds = 0;
     if (absl::ConsumePrefix(&Part, "timeout=") &&
-        absl::SimpleAtoi(Part, &Seconds))
-      return std::chrono::seconds(Seconds);
+        absl::SimpleAtoi(Part, &Seconds) && Seconds >= 0)
+      return std::min(std::chrono::seconds(Seconds), LongestIdleTimeout);
   }
   return std::nullopt;
 }
