--- a/Source/Core/Common/ErrorKind.cpp
+++ b/Source/Core/Common/ErrorKind.cpp
@@ -42,6 +42,7 @@
     {"request_quarantined", 503, NotRun, RetryLater},
     {"configuration_missing", 503, NotRun, RetryLater},
     {"configuration_stale", 503, NotRun, RetryLater},
+    {"configuration_unreadable", 503, NotRun, RetryLater},
     {"instance_leaving", 503, NotRun, RetrySoon},
     {"instance_ended", 504, Unknown, RetrySoon},
     {"instance_overloaded", 503, NotRun, RetryLater},
--- a/Source/Core/Common/ErrorKind.h
+++ b/Source/Core/Common/ErrorKind.h
@@ -42,6 +42,9 @@
   RequestQuarantined,
   ConfigurationMissing,
   ConfigurationStale,
+  /// What the operator allows the request is not known, since its route, or the
+  /// workspace or its key, cannot be read.
+  ConfigurationUnreadable,
   InstanceLeaving,
   /// This instance ends before the target has responded.
   InstanceEnded,
--- a/Source/Core/Routing/Configuration.h
+++ b/Source/Core/Routing/Configuration.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Common/Time.h"
@@ -15,6 +16,33 @@
 /// Whether a request may run more than once.
 enum class repeatability : uint8_t { Repeatable, AtMostOnce };
 
+/// What becomes of a value that cannot be read. It depends on the value alone
+/// and not on an earlier version, so that all instances see the same.
+enum class unreadable_effect : uint8_t {
+  /// The version does not come into force.
+  VersionRejected,
+  /// The entry is closed.
+  EntryClosed,
+  /// The value counts as not given.
+  ValueOmitted,
+};
+
+/// "version_rejected", "entry_closed" or "value_omitted".
+std::string_view nameOf(unreadable_effect Effect);
+
+/// A value of a configuration that cannot be read.
+struct unreadable_value {
+  std::string Table;
+  /// Row of the table, from one; zero if it is in none.
+  size_t Row = 0;
+  /// Name of the row's entry, if that can be read.
+  std::string Name;
+  std::string Column;
+  /// Never contains a key.
+  std::string Message;
+  unreadable_effect Effect = unreadable_effect::VersionRejected;
+};
+
 /// A service and its share of a route's requests.
 struct split_part {
   std::string Service;
@@ -42,6 +70,10 @@
   bool Public = false;
   /// The only regions in which its requests may run; empty: all.
   std::vector<std::string> HomeRegions = {};
+  /// It is not known what the operator allows it: its requests are refused. A
+  /// closed route without a prefix closes its host, one without a host all
+  /// hosts, since any request may be meant for it.
+  bool Closed = false;
 };
 
 struct service {
@@ -66,6 +98,11 @@
   double Burst = 0;
   /// As in route; both bind.
   std::vector<std::string> HomeRegions = {};
+  /// It is not known what the operator allows it: its requests are refused.
+  bool Closed = false;
+  /// Whether all its keys could be read. Otherwise a key that nobody holds may
+  /// be one of them.
+  bool KeysKnown = true;
 };
 
 /// Limits for requests and connections of callers.
@@ -86,6 +123,8 @@
   bool RequiresKeys = true;
   std::vector<workspace> Workspaces;
   caller_limits Limits;
+  /// What in it is not in force.
+  std::vector<unreadable_value> Unreadable = {};
 };
 
 } // namespace magnolia::routing
--- a/Source/Core/Routing/RouteTable.cpp
+++ b/Source/Core/Routing/RouteTable.cpp
@@ -21,18 +21,48 @@
 route_table::route_table(configuration Given)
     : Configuration(std::move(Given)), Ranks(Configuration) {
   for (const route &Route : Configuration.Routes)
-    ByHost[normalizedHost(Route.Host)][Route.Prefix] = &Route;
+    add(Route);
   for (const service &Service : Configuration.Services)
     ByService[Service.Name] = &Service;
   for (const workspace &Workspace : Configuration.Workspaces)
-    for (const std::string &Key : Workspace.Keys)
-      if (!Key.empty())
-        ByKey[Key] = &Workspace;
+    add(Workspace);
+}
+
+void route_table::add(const route &Route) {
+  if (Route.Closed && Route.Host.empty()) {
+    ClosesAllHosts = &Route;
+    return;
+  }
+  const std::string Host = normalizedHost(Route.Host);
+  if (Route.Closed && Route.Prefix.empty()) {
+    ClosedHosts[Host] = &Route;
+    return;
+  }
+  const route *&Place = ByHost[Host][Route.Prefix];
+  // Of two routes for the same requests a closed one holds.
+  if (Place == nullptr || !Place->Closed)
+    Place = &Route;
+}
+
+void route_table::add(const workspace &Workspace) {
+  MayMissKeys |= !Workspace.KeysKnown;
+  for (const std::string &Key : Workspace.Keys) {
+    if (Key.empty())
+      continue;
+    const workspace *&Holder = ByKey[Key];
+    if (Holder == nullptr || !Holder->Closed)
+      Holder = &Workspace;
+  }
 }
 
 const route *route_table::find(std::string_view Host,
                                std::string_view Path) const {
-  const auto Prefixes = ByHost.find(normalizedHost(Host));
+  if (ClosesAllHosts != nullptr)
+    return ClosesAllHosts;
+  const std::string Name = normalizedHost(Host);
+  if (const auto Closed = ClosedHosts.find(Name); Closed != ClosedHosts.end())
+    return Closed->second;
+  const auto Prefixes = ByHost.find(Name);
   if (Prefixes == ByHost.end())
     return nullptr;
   size_t Slash = Path.rfind('/');
--- a/Source/Core/Routing/RouteTable.h
+++ b/Source/Core/Routing/RouteTable.h
@@ -23,7 +23,8 @@
   static std::shared_ptr<const route_table> build(configuration Configuration);
 
   /// The route of \p Host (the port and the case of letters are ignored) with
-  /// the longest prefix of \p Path; null if there is none.
+  /// the longest prefix of \p Path; null if there is none. A closed one if the
+  /// request may be meant for a route that cannot be read.
   const route *find(std::string_view Host, std::string_view Path) const;
 
   /// The home regions of the routes of \p Host that have any.
@@ -32,6 +33,9 @@
   /// The workspace that holds \p Key; null if none does.
   const workspace *workspaceOf(std::string_view Key) const;
 
+  /// Whether a key that nobody holds may be one that could not be read.
+  bool mayMissKeys() const { return MayMissKeys; }
+
   /// The service \p Name; null if the configuration has none.
   const service *serviceOf(std::string_view Name) const;
 
@@ -43,12 +47,19 @@
   using prefix_map = absl::flat_hash_map<std::string, const route *>;
 
   explicit route_table(configuration Configuration);
+  void add(const route &Route);
+  void add(const workspace &Workspace);
 
   const configuration Configuration;
   const rank_table Ranks;
   absl::flat_hash_map<std::string, prefix_map> ByHost;
+  /// Closed routes without a prefix.
+  absl::flat_hash_map<std::string, const route *> ClosedHosts;
+  /// A closed route without a host.
+  const route *ClosesAllHosts = nullptr;
   absl::flat_hash_map<std::string, const workspace *> ByKey;
   absl::flat_hash_map<std::string, const service *> ByService;
+  bool MayMissKeys = false;
 };
 
 } // namespace magnolia::routing
--- a/Source/Gateway/ExchangeAdmission.cpp
+++ b/Source/Gateway/ExchangeAdmission.cpp
@@ -44,6 +44,10 @@
     refuse(error_kind::RouteNotFound, "no route has this host and path");
     return;
   }
+  if (Route->Closed) {
+    refuse(error_kind::ConfigurationUnreadable, "the route cannot be read");
+    return;
+  }
   chooseService();
   if (Service.empty()) {
     refuse(error_kind::NoTargetAvailable, "the route has no service");
@@ -190,12 +194,17 @@
     return false;
   }
   Workspace = Routes->workspaceOf(*Key);
-  if (Workspace == nullptr) {
-    NotAdmitted = true;
+  if (Workspace != nullptr && !Workspace->Closed)
+    return true;
+  NotAdmitted = true;
+  if (Workspace != nullptr)
+    refuse(error_kind::ConfigurationUnreadable, "the workspace cannot be read");
+  else if (Routes->mayMissKeys())
+    refuse(error_kind::ConfigurationUnreadable,
+           "a workspace's keys cannot be read, this may be one of them");
+  else
     refuse(error_kind::KeyUnknown, "no workspace holds this key");
-    return false;
-  }
-  return true;
+  return false;
 }
 
 bool exchange::checkPlaces() {
--- a/Source/Gateway/Gateway.cpp
+++ b/Source/Gateway/Gateway.cpp
@@ -261,40 +261,6 @@
                {"late_fraction", Mode.lateFraction()}});
 }
 
-message::server_limits gateway::callerLimits() const {
-  message::server_limits Limits;
-  Limits.Shares = Memory;
-  Limits.Unfetched = Unfetched;
-  if (!Routes)
-    return Limits;
-  const routing::caller_limits &Configured =
-      Routes->configurationInForce().Limits;
-  Limits.Reader.HeadBytes = Configured.HeadBytes;
-  Limits.Reader.BodyBytes = Configured.BodyBytes;
-  Limits.HeadTimeout = Configured.HeadTimeout;
-  Limits.IdleTimeout = Configured.IdleTimeout;
-  return Limits;
-}
-
-fleet::table_hooks gateway::configurationHooks() {
-  fleet::table_hooks Hooks;
-  const auto Offer = [this](const stored_row &Row) {
-    offerConfiguration(Row, Store->eraOf(fleet::table_id::Configuration),
-                       fleet::offer_source::Store);
-  };
-  Hooks.OnChange = [this, Offer](const stored_row &Row) {
-    Evacuation.applyChange(Row);
-    Offer(Row);
-  };
-  Hooks.OnRestored = [this] { Evacuation.beginRestored(); };
-  Hooks.OnSnapshot = [this, Offer](const std::vector<stored_row> &Rows) {
-    Evacuation.applySnapshot(Rows);
-    for (const stored_row &Row : Rows)
-      Offer(Row);
-  };
-  return Hooks;
-}
-
 fleet::table_hooks gateway::targetHooks() {
   fleet::table_hooks Hooks;
   Hooks.OnChange = [this](const stored_row &Row) { applyTarget(Row); };
@@ -354,55 +320,6 @@
                {"bytes", Row.Value.size()}});
 }
 
-void gateway::offerConfiguration(const stored_row &Row, uint64_t Era,
-                                 fleet::offer_source Source) {
-  if (Row.Key != Environment.ConfigurationKey || Row.Removed)
-    return;
-  auto Read = Environment.Decoders.Configuration(Row.Value);
-  if (!Read.ok()) {
-    onInvalidConfiguration(Row, Read.status());
-    return;
-  }
-  const uint64_t Before = Routes ? Routes->version() : 0;
-  const fleet::configuration_offer Offer = {
-      Read->Version, common::stableHash(Row.Value), {Era, Row.Version}};
-  const fleet::offer_decision Decision = Accepted.offer(Offer, Source);
-  if (Decision == fleet::offer_decision::InForce)
-    return;
-  const bool IsAccepted = Decision == fleet::offer_decision::Accepted;
-  common::log(IsAccepted ? log_level::Info : log_level::Warning, Component,
-              IsAccepted ? "configuration applied"
-                         : "older configuration ignored",
-              {{"version", Read->Version},
-               {"before", Before},
-               {"store_era", Offer.Position.Era},
-               {"store_version", Offer.Position.Version},
-               {"from_peer", Source == fleet::offer_source::Peer ? 1 : 0},
-               {"keys_required", Read->RequiresKeys ? 1 : 0},
-               {"routes", Read->Routes.size()},
-               {"workspaces", Read->Workspaces.size()}});
-  if (!IsAccepted)
-    return;
-  LostConfiguration->setInForce(Row);
-  Routes = routing::route_table::build(std::move(*Read));
-  RoutesSince = Loop.now();
-  Splits.keepOnly(Routes->configurationInForce());
-  updateColdTargets();
-}
-
-void gateway::onInvalidConfiguration(const stored_row &Row,
-                                     const absl::Status &Error) {
-  const uint64_t Hash = common::stableHash(Row.Value);
-  if (InvalidConfiguration == Hash)
-    return;
-  InvalidConfiguration = Hash;
-  common::log(log_level::Error, Component, "invalid configuration",
-              {{"detail", std::string(Error.message())},
-               {"store_version", Row.Version},
-               {"bytes", Row.Value.size()},
-               {"in_force", Routes ? Routes->version() : 0}});
-}
-
 void gateway::onCall(const std::shared_ptr<message::server_call> &Call) {
   exchange::begin(*this, Call);
 }
--- a/Source/Gateway/GatewayMetrics.cpp
+++ b/Source/Gateway/GatewayMetrics.cpp
@@ -162,6 +162,14 @@
   add(Samples, "magnolia_configuration_version",
       "Version of the configuration in force.",
       Routes ? static_cast<double>(Routes->version()) : 0);
+  add(Samples, "magnolia_configuration_unreadable_values",
+      "Values of the configuration in force that cannot be read.",
+      Routes ? static_cast<double>(
+                   Routes->configurationInForce().Unreadable.size())
+             : 0);
+  add(Samples, "magnolia_configuration_rejected",
+      "Whether the last configuration from the store was rejected whole.",
+      InvalidConfiguration ? 1 : 0);
   add(Samples, "magnolia_store_era",
       "How often the store was restored, as of the configuration in force.",
       static_cast<double>(storeEra()));
--- a/Source/UnitTests/Routing/RouteTableTest.cpp
+++ b/Source/UnitTests/Routing/RouteTableTest.cpp
@@ -67,6 +67,59 @@
   }
 }
 
+// Guards against a row that cannot be read and whose requests fall to another
+// route or workspace.
+TEST_CASE("Routes that cannot be read") {
+  configuration Configuration;
+  const auto Add = [&](const char *Host, const char *Prefix, bool Closed) {
+    route Route;
+    Route.Host = Host;
+    Route.Prefix = Prefix;
+    Route.Closed = Closed;
+    Configuration.Routes.push_back(Route);
+  };
+  Add("a.example", "/", false);
+  Add("a.example", "/paid/", true);
+  const auto IsClosed = [&](const char *Host, const char *Path) {
+    const auto Table = route_table::build(Configuration);
+    const route *Found = Table->find(Host, Path);
+    return Found != nullptr && Found->Closed;
+  };
+
+  SUBCASE("match their requests and no others") {
+    CHECK(IsClosed("a.example", "/paid/1"));
+    CHECK_FALSE(IsClosed("a.example", "/1"));
+  }
+  SUBCASE("hold beside a route for the same requests, in either order") {
+    Add("a.example", "/paid/", false);
+    Add("a.example", "/", true);
+    CHECK(IsClosed("a.example", "/paid/1"));
+    CHECK(IsClosed("a.example", "/1"));
+  }
+  SUBCASE("match their whole host without a prefix") {
+    Add("b.example", "/", false);
+    Add("A.example", "", true);
+    CHECK(IsClosed("a.example:80", "/1"));
+    CHECK_FALSE(IsClosed("b.example", "/1"));
+  }
+  SUBCASE("match everything without a host") {
+    Add("", "/x/", true);
+    CHECK(IsClosed("a.example", "/1"));
+    CHECK(IsClosed("c.example", "/1"));
+  }
+  SUBCASE("leave keys to the closed one of two workspaces") {
+    for (const bool Closed : {false, true, false}) {
+      workspace Workspace;
+      Workspace.Keys = {"key"};
+      Workspace.Closed = Closed;
+      Configuration.Workspaces.push_back(Workspace);
+    }
+    const auto Table = route_table::build(Configuration);
+    CHECK(Table->workspaceOf("key")->Closed);
+    CHECK_FALSE(Table->mayMissKeys());
+  }
+}
+
 TEST_CASE("A route table finds the workspace of a key") {
   configuration Configuration;
   Configuration.Workspaces = {{"club", {"old", "new"}, 0, 5, 5},
