--- a/Source/Net/Message/HttpClient.cpp
+++ b/Source/Net/Message/HttpClient.cpp
@@ -13,9 +13,11 @@
 namespace {
 
 constexpr int FirstFinalStatus = 200;
-/// A server that sends more interim responses, or responses to other requests,
-/// may never send the one that is awaited.
+/// A server that sends more responses to other requests may never send the one
+/// that is awaited.
 constexpr size_t MaxSkipped = 16;
+/// The same for interim responses, of which a slow server sends many.
+constexpr size_t MaxInterim = 1000;
 /// A server that announces a longer one counts as keeping connections this
 /// long.
 constexpr auto LongestIdleTimeout =
@@ -95,6 +97,7 @@
                              bool ExpectNoBody) {
   Busy = true;
   Skipped = 0;
+  Interim = 0;
   LastUsed = Loop.now();
   Reader.expectNoBody(ExpectNoBody);
   Stream->write(Head);
@@ -174,7 +177,7 @@
         OnProgress();
       return;
     }
-    if (Skipped >= MaxSkipped) {
+    if (Skipped >= MaxSkipped || Interim >= MaxInterim) {
       fail(exchange_failure::Malformed);
       return;
     }
@@ -190,7 +193,7 @@
   response Response = Reader.takeResponse();
   Response.Memory = Meter.take();
   if (Response.Status < FirstFinalStatus) {
-    ++Skipped;
+    ++Interim;
     return;
   }
   if (!KeepsAlive)
--- a/Source/Net/Message/HttpClient.h
+++ b/Source/Net/Message/HttpClient.h
@@ -118,9 +118,10 @@
   std::optional<duration> IdleTimeout;
   bool Busy = false;
   bool NotReusable = false;
-  /// Responses of this exchange that did not end it: interim ones and those of
-  /// other requests.
+  /// Responses to other requests in this exchange.
   size_t Skipped = 0;
+  /// Interim responses in this exchange.
+  size_t Interim = 0;
 };
 
 } // namespace magnolia::message
--- a/Source/Net/Message/MessageReader.cpp
+++ b/Source/Net/Message/MessageReader.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/ascii.h>
 #include <http_parser.h>
 
+#include "Net/Message/StatusLine.h"
+
 namespace magnolia::message {
 
 namespace {
@@ -50,6 +52,7 @@
   bool KeepsAlive = true;
   bool NoBody = false;
   read_error Error = read_error::None;
+  status_line_check StatusLine;
 
   header_list &headers() {
     return Kind == message_kind::Request ? Request.Headers : Response.Headers;
@@ -152,6 +155,7 @@
     InMessage = false;
     HeadRead = false;
     Complete = false;
+    StatusLine = status_line_check();
   }
 };
 
@@ -201,6 +205,11 @@
 size_t message_reader::feed(std::string_view Bytes) {
   if (State->Complete || State->Error != read_error::None || Bytes.empty())
     return 0;
+  if (State->Kind == message_kind::Response &&
+      State->StatusLine.feed(Bytes) == status_line_check::result::Invalid) {
+    State->Error = read_error::Malformed;
+    return 0;
+  }
   const size_t Consumed = http_parser_execute(&State->Parser, &parserSettings(),
                                               Bytes.data(), Bytes.size());
   const auto Code = HTTP_PARSER_ERRNO(&State->Parser);
--- a/Source/Net/Upstream/SocketStream.cpp
+++ b/Source/Net/Upstream/SocketStream.cpp
@@ -76,6 +76,9 @@
     return failHead("the head of the answer is too long") > 0;
   if (InStatusLine && LineSize == StatusOffset && Byte == '1')
     return failHead("an interim answer came though none was asked for") > 0;
+  if (InStatusLine && StatusLine.feed({&Byte, 1}) ==
+                          message::status_line_check::result::Invalid)
+    return failHead("the answer begins with no status line of HTTP") > 0;
   ++LineSize;
   if (InStatusLine && LineSize > MaxStatusLineBytes)
     return failHead("the status line is too long") > 0;
--- a/Source/Net/Upstream/SocketStream.h
+++ b/Source/Net/Upstream/SocketStream.h
@@ -8,6 +8,7 @@
 
 #include <httplib.h>
 
+#include "Net/Message/StatusLine.h"
 #include "Net/Upstream/Connection.h"
 
 // Private to this component: includes the large header of cpp-httplib.
@@ -71,6 +72,7 @@
   size_t HeadSize = 0;
   size_t LineSize = 0;
   bool InStatusLine = true;
+  message::status_line_check StatusLine;
   /// The rest of the escape that is inserted after a percent sign.
   std::string_view PendingEscape;
   /// The last bytes of the body that were read, at most as many as LastChunk
