Send the rest of a response to a caller that has shut down its sending side

Callers saw: one that asks for a last response, shuts down its sending side and fetches at its own pace got a part of it and then a close (a response of 4 MB in the test).

Cause: the end of the caller's side closed the connection at once, with up to 1 MB that the system had not taken yet.

Change: responses that have begun are sent to the end, as after Connection: close: as long as the caller fetches. Requests without a response are cancelled as before, and a reset closes at once.

Why it works: a response that was written belongs to the caller, whatever it sends next; what its targets are at work on still ends with its side.

--- a/Source/Net/Message/ServerConnection.cpp
+++ b/Source/Net/Message/ServerConnection.cpp
@@ -83,9 +83,9 @@
     if (const auto Self = Weak.lock())
       Self->onBytes(Bytes);
   };
-  StreamHooks.OnEnd = [Weak](event::stream_end) {
+  StreamHooks.OnEnd = [Weak](event::stream_end End) {
     if (const auto Self = Weak.lock())
-      Self->onEnd();
+      Self->onEnd(End);
   };
   StreamHooks.OnDrained = [Weak] {
     if (const auto Self = Weak.lock()) {
@@ -333,10 +333,13 @@
     closeNow();
 }
 
-void server_connection::onEnd() {
+void server_connection::onEnd(event::stream_end End) {
   // A caller that shuts down its sending side counts as disconnected, even if
-  // responses are pending.
-  closeNow();
+  // responses are pending. What it is fetching was its own: it gets the rest.
+  if (End == event::stream_end::Broken || Stream->unsent() == 0)
+    closeNow();
+  else if (!Finishing)
+    finish();
 }
 
 void server_connection::closeNow() {
--- a/Source/Net/Message/ServerConnection.h
+++ b/Source/Net/Message/ServerConnection.h
@@ -114,7 +114,7 @@
   server_connection(event::event_loop &Loop, const server_hooks &Hooks,
                     closed_hook OnClosed);
   void onBytes(std::string_view Bytes);
-  void onEnd();
+  void onEnd(event::stream_end End);
   /// Reads buffered requests and sends responses, for one turn.
   void process();
   void readBuffered();
