Name the parts of the grace time, say what is known of a request that ends

Read as a newcomer: constants of ShutdownPlan say what they bound, and the log does not claim that nothing was sent where targets refused the request.

--- a/Source/Core/Admission/ShutdownPlan.cpp
+++ b/Source/Core/Admission/ShutdownPlan.cpp
@@ -5,12 +5,12 @@
 namespace magnolia::admission {
 namespace {
 
-/// Targets that are still at work in this last part of the grace time have had
-/// their chance: one sixth.
-constexpr int LastParts = 6;
-/// Of the grace time, for what Settings.ExitBefore is meant for; shorter grace
-/// times leave room for little else.
-constexpr int ExitParts = 8;
+/// No request is ended for others before the last sixth of the grace time.
+constexpr int LastPart = 6;
+/// shutdown_settings::ExitBefore is at most an eighth of the grace time.
+constexpr int ExitPart = 8;
+/// The last third of that time is left to the end of the process.
+constexpr int ProcessEndPart = 3;
 /// Until the first bytes of a response have reached a caller.
 constexpr std::chrono::milliseconds FirstBytes{250};
 
@@ -31,18 +31,18 @@
 
 duration shutdown_plan::endsBlockingAt(const blocked_responses &Blocked,
                                        size_t AllBytes) const {
-  const duration Earliest = Settings.Grace - Settings.Grace / LastParts;
+  const duration Earliest = Settings.Grace - Settings.Grace / LastPart;
   const duration Latest = endsAllAt() - timeToSend(Blocked.Bytes, AllBytes);
   return std::max(Earliest, Latest);
 }
 
 duration shutdown_plan::endsAllAt() const {
   return Settings.Grace -
-         std::min(Settings.ExitBefore, Settings.Grace / ExitParts);
+         std::min(Settings.ExitBefore, Settings.Grace / ExitPart);
 }
 
 duration shutdown_plan::exitsAt() const {
-  return Settings.Grace - (Settings.Grace - endsAllAt()) / 3;
+  return Settings.Grace - (Settings.Grace - endsAllAt()) / ProcessEndPart;
 }
 
 duration shutdown_plan::timeToSend(size_t Bytes, size_t AllBytes) const {
--- a/Source/Gateway/ExchangeResponses.cpp
+++ b/Source/Gateway/ExchangeResponses.cpp
@@ -302,7 +302,8 @@
   if (MayHaveRun)
     refuse(error_kind::InstanceEnded, "this instance ends before the target");
   else
-    refuse(error_kind::InstanceLeaving, "this instance ends, nothing was sent");
+    refuse(error_kind::InstanceLeaving,
+           "this instance ends, no target has run it");
 }
 
 void exchange::logOutcome(std::string_view Outcome, int Status,
