StatusLineTest: a second reader in place of a regular expression

The sanitize preset did not build this file: GCC warns of uninitialized memory inside std::regex with -fsanitize, and warnings are errors.

--- a/Source/UnitTests/Net/Message/StatusLineTest.cpp
+++ b/Source/UnitTests/Net/Message/StatusLineTest.cpp
@@ -1,7 +1,6 @@
 #include "Net/Message/StatusLine.h"
 
 #include <random>
-#include <regex>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -15,11 +14,22 @@
 
 result check(std::string_view Bytes) { return status_line_check().feed(Bytes); }
 
-/// The same, decided by a regular expression.
+/// Whether all bytes of \p Text are among \p Allowed.
+bool consistsOf(const std::string &Text, std::string_view Allowed) {
+  return Text.find_first_not_of(Allowed) == std::string::npos;
+}
+
+/// The same for a whole line, decided by its parts.
 bool isStatusLine(const std::string &Line) {
-  static const std::regex Allowed(
-      "[\r\n]*HTTP/1\\.[0-9] (?!101)[1-5][0-9][0-9][ \r\n][\\s\\S]*");
-  return std::regex_match(Line, Allowed);
+  const size_t Begin = Line.find_first_not_of("\r\n");
+  if (Begin == std::string::npos || Line.compare(Begin, 7, "HTTP/1.") != 0 ||
+      Line.size() < Begin + 13)
+    return false;
+  const std::string Status = Line.substr(Begin + 9, 3);
+  return consistsOf(Line.substr(Begin + 7, 1), "0123456789") &&
+         Line[Begin + 8] == ' ' && consistsOf(Status, "0123456789") &&
+         consistsOf(Status.substr(0, 1), "12345") && Status != "101" &&
+         consistsOf(Line.substr(Begin + 12, 1), " \r\n");
 }
 
 /// A status line of which some bytes were changed, left out or added.
