--- a/Source/Core/Common/YamlReader.cpp
+++ b/Source/Core/Common/YamlReader.cpp
@@ -9,6 +9,7 @@
 #include <absl/strings/str_join.h>
 #include <yaml-cpp/yaml.h>
 
+#include "Common/Number.h"
 #include "Common/StringView.h"
 
 namespace magnolia::common {
@@ -38,15 +39,11 @@
   for (const duration_unit &Unit : DurationUnits) {
     if (!Text.ends_with(Unit.Suffix))
       continue;
-    double Count = 0;
     Text.remove_suffix(Unit.Suffix.size());
-    // Words such as "inf" are no numbers.
-    const bool IsNumber =
-        !Text.empty() &&
-        Text.find_first_not_of("0123456789.+-eE ") == std::string_view::npos;
-    if (!IsNumber || !absl::SimpleAtod(toAbsl(Text), &Count) || !(Count >= 0))
+    const auto Count = parseNumber(Text);
+    if (!Count || *Count < 0)
       return std::nullopt;
-    return Count * static_cast<double>(Unit.Length.count());
+    return *Count * static_cast<double>(Unit.Length.count());
   }
   return std::nullopt;
 }
--- a/Source/Core/Routing/Configuration.cpp
+++ b/Source/Core/Routing/Configuration.cpp
@@ -8,6 +8,8 @@
     return "version_rejected";
   case unreadable_effect::EntryClosed:
     return "entry_closed";
+  case unreadable_effect::ValueAdjusted:
+    return "value_adjusted";
   case unreadable_effect::ValueOmitted:
     break;
   }
--- a/Source/Core/Routing/Configuration.h
+++ b/Source/Core/Routing/Configuration.h
@@ -25,9 +25,11 @@
   EntryClosed,
   /// The value counts as not given.
   ValueOmitted,
+  /// The value can be read and counts as the nearest one that can be kept.
+  ValueAdjusted,
 };
 
-/// "version_rejected", "entry_closed" or "value_omitted".
+/// "version_rejected", "entry_closed", "value_omitted" or "value_adjusted".
 std::string_view nameOf(unreadable_effect Effect);
 
 /// A value of a configuration that cannot be read.
@@ -46,7 +48,8 @@
 /// A service and its share of a route's requests.
 struct split_part {
   std::string Service;
-  uint64_t Weight = 0;
+  /// Not negative. Only its ratio to the weights of the other parts counts.
+  double Weight = 0;
 
   friend bool operator==(const split_part &, const split_part &) = default;
 };
@@ -61,8 +64,8 @@
   duration Timeout = std::chrono::seconds(60);
   /// Objective for the time until the response; a later response is worth less.
   duration LatencyObjective = std::chrono::seconds(1);
-  /// Zero is the most urgent.
-  int Priority = 0;
+  /// Not negative; zero is the most urgent.
+  double Priority = 0;
   std::vector<split_part> Parts;
   /// Maximum number of targets to which one request may be sent.
   uint32_t MaxAttempts = 1;
@@ -92,7 +95,7 @@
   std::string Name;
   std::vector<std::string> Keys;
   /// Takes precedence over the route's, if given; zero is the most urgent.
-  std::optional<int> Priority;
+  std::optional<double> Priority;
   /// Requests per second over the whole fleet; zero: no limit.
   double RatePerSecond = 0;
   double Burst = 0;
@@ -125,6 +128,8 @@
   caller_limits Limits;
   /// What in it is not in force.
   std::vector<unreadable_value> Unreadable = {};
+  /// What in it counts as another value.
+  std::vector<unreadable_value> Adjusted = {};
 };
 
 } // namespace magnolia::routing
--- a/Source/Core/Routing/ConfigurationCheck.cpp
+++ b/Source/Core/Routing/ConfigurationCheck.cpp
@@ -8,6 +8,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/time/time.h>
 
+#include "Common/Number.h"
 #include "Routing/RouteTable.h"
 
 namespace magnolia::routing {
@@ -308,10 +309,11 @@
 }
 
 void checkRanks(check_report &Report) {
-  const auto Message = [](int Rank) {
-    return absl::StrCat("rank ", Rank, " is not from 0 to ", MaxRank);
+  const auto Message = [](double Rank) {
+    return absl::StrCat("rank ", common::printNumber(Rank),
+                        " is not from 0 to ", MaxRank);
   };
-  const auto IsOdd = [](int Rank) { return Rank < 0 || Rank > MaxRank; };
+  const auto IsOdd = [](double Rank) { return Rank < 0 || Rank > MaxRank; };
   for (const route &Route : Report.config().Routes)
     if (IsOdd(Route.Priority))
       Report.add(Route, "priority", Message(Route.Priority));
@@ -324,7 +326,8 @@
   for (const workspace &Workspace : Report.config().Workspaces)
     if (Workspace.RatePerSecond > 0 && Workspace.Burst < 1)
       Report.add(Workspace, "burst",
-                 absl::StrCat("a rate with the burst ", Workspace.Burst,
+                 absl::StrCat("a rate with the burst ",
+                              common::printNumber(Workspace.Burst),
                               ", which counts as one request"));
 }
 
--- a/Source/Core/Routing/ConfigurationEntries.cpp
+++ b/Source/Core/Routing/ConfigurationEntries.cpp
@@ -7,11 +7,13 @@
 #include <absl/time/time.h>
 
 #include "Common/Digest.h"
+#include "Common/Number.h"
 
 namespace magnolia::routing {
 namespace {
 
 using common::entry_group;
+using common::printNumber;
 using common::yesNo;
 
 constexpr size_t DigestDigits = 8;
@@ -23,7 +25,7 @@
 std::string printParts(const std::vector<split_part> &Parts) {
   return absl::StrJoin(
       Parts, " + ", [](std::string *Text, const split_part &Part) {
-        absl::StrAppend(Text, Part.Service, " x ", Part.Weight);
+        absl::StrAppend(Text, Part.Service, " x ", printNumber(Part.Weight));
       });
 }
 
@@ -52,7 +54,7 @@
         {"repeatable", yesNo(Route.Repeatability == repeatability::Repeatable)},
         {"timeout", print(Route.Timeout)},
         {"latency objective", print(Route.LatencyObjective)},
-        {"rank", absl::StrCat(Route.Priority)},
+        {"rank", printNumber(Route.Priority)},
         {"service", printParts(Route.Parts)},
         {"attempts", absl::StrCat(Route.MaxAttempts)},
         {"public", yesNo(Route.Public)},
@@ -67,7 +69,7 @@
         {"connections of a target", absl::StrCat(Service.MaxConnections)},
         {"warm-up", print(Service.Warmup)},
         {"requests per second while cold",
-         absl::StrCat(Service.WarmupPerSecond)}};
+         printNumber(Service.WarmupPerSecond)}};
   return Group;
 }
 
@@ -75,9 +77,9 @@
   entry_group Group{"workspace", {}};
   for (const workspace &Workspace : Configuration.Workspaces)
     Group.Entries[Workspace.Name] = {
-        {"rate", absl::StrCat(Workspace.RatePerSecond)},
-        {"burst", absl::StrCat(Workspace.Burst)},
-        {"rank", Workspace.Priority ? absl::StrCat(*Workspace.Priority)
+        {"rate", printNumber(Workspace.RatePerSecond)},
+        {"burst", printNumber(Workspace.Burst)},
+        {"rank", Workspace.Priority ? printNumber(*Workspace.Priority)
                                     : std::string("the route's")},
         {"keys", printKeys(Workspace.Keys)},
         {"home regions", printRegions(Workspace.HomeRegions)}};
--- a/Source/Core/Routing/RankTable.cpp
+++ b/Source/Core/Routing/RankTable.cpp
@@ -33,9 +33,9 @@
 
 rank_table::urgency rank_table::urgencyOf(const route &Route,
                                           const workspace *Workspace) {
-  const int First = Workspace != nullptr
-                        ? Workspace->Priority.value_or(Route.Priority)
-                        : Route.Priority;
+  const double First = Workspace != nullptr
+                           ? Workspace->Priority.value_or(Route.Priority)
+                           : Route.Priority;
   return {First, Route.Priority};
 }
 
--- a/Source/Core/Routing/RankTable.h
+++ b/Source/Core/Routing/RankTable.h
@@ -30,7 +30,7 @@
 
 private:
   /// The priority of the workspace or else the route's, and the route's.
-  using urgency = std::pair<int, int>;
+  using urgency = std::pair<double, double>;
 
   static urgency urgencyOf(const route &Route, const workspace *Workspace);
   void add(const route &Route, const workspace *Workspace);
--- a/Source/Gateway/GatewayConfiguration.cpp
+++ b/Source/Gateway/GatewayConfiguration.cpp
@@ -15,16 +15,16 @@
 namespace {
 
 constexpr const char *Component = "Gateway";
-/// Unreadable values of one configuration that are logged.
+/// Values of one configuration that are logged, of each kind.
 constexpr size_t MaxLoggedValues = 20;
 
-void logUnreadable(const routing::configuration &Configuration) {
-  const auto &Values = Configuration.Unreadable;
+void logValues(uint64_t Version, log_level Level, const char *Event,
+               const std::vector<routing::unreadable_value> &Values) {
   const size_t Logged = std::min(Values.size(), MaxLoggedValues);
   for (size_t Index = 0; Index < Logged; ++Index) {
     const routing::unreadable_value &Value = Values[Index];
-    common::log(log_level::Error, Component, "configuration value not in force",
-                {{"version", Configuration.Version},
+    common::log(Level, Component, Event,
+                {{"version", Version},
                  {"table", Value.Table},
                  {"row", Value.Row},
                  {"name", Value.Name},
@@ -100,7 +100,10 @@
                {"unreadable", Read->Unreadable.size()}});
   if (!IsAccepted)
     return;
-  logUnreadable(*Read);
+  logValues(Read->Version, log_level::Error, "configuration value not in force",
+            Read->Unreadable);
+  logValues(Read->Version, log_level::Warning, "configuration value adjusted",
+            Read->Adjusted);
   InvalidConfiguration.reset();
   LostConfiguration->setInForce(Row);
   Routes = routing::route_table::build(std::move(*Read));
