Keep a caller's time also if it is no integer (BUDGET)

Callers: one that says it waits for 800.0, 8e2 or 800.75 milliseconds was kept for as long as the route allows, and its target was told that longer time.

Cause: readDeadline() read the header as an integer and took what it could not read as not given.

Change: it reads a decimal number, as durations are read. What is too large is the longest time; no number, zero or below zero is not given, as before.

Evidence: CallerTest "is served within its own time, however it is written" failed on (the target was told 1,495 ms for 800.0) and passes.

--- a/Source/Gateway/ExchangeAdmission.cpp
+++ b/Source/Gateway/ExchangeAdmission.cpp
@@ -1,6 +1,6 @@
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
+#include "Common/Number.h"
 #include "Common/StringView.h"
 #include "Gateway/Exchange.h"
 #include "Gateway/RequestLog.h"
@@ -11,14 +11,14 @@
 namespace magnolia::gateway {
 
 using common::error_kind;
-using common::toAbsl;
 
 namespace {
 
+/// May have a fraction.
+using milliseconds = std::chrono::duration<double, std::milli>;
+
 /// A caller that would wait longer counts as waiting this long.
-constexpr auto LongestWait =
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-        common::LongestDuration);
+constexpr auto LongestWait = common::LongestDuration;
 
 /// When a caller whose request got no turn may come back.
 std::optional<duration> retryAfterOf(const admission::turn_inputs &Inputs) {
@@ -141,11 +141,12 @@
   const auto DeadlineHeader =
       Call->Request.Headers.find(HeaderNames.DeadlineMs);
   CallerDeadline = Call->Arrived + Route->Timeout;
-  int64_t Millis = 0;
-  if (DeadlineHeader && absl::SimpleAtoi(toAbsl(*DeadlineHeader), &Millis) &&
-      Millis > 0)
-    CallerDeadline = Call->Arrived +
-                     std::min(std::chrono::milliseconds(Millis), LongestWait);
+  const auto Millis =
+      DeadlineHeader ? common::parseNumber(*DeadlineHeader) : std::nullopt;
+  if (Millis && *Millis > 0)
+    CallerDeadline =
+        Call->Arrived + std::chrono::duration_cast<duration>(std::min(
+                            milliseconds(*Millis), milliseconds(LongestWait)));
   RespondBy = std::min(CallerDeadline, Call->Arrived + Route->Timeout);
   if (timeLeft() > duration::zero())
     return true;
