--- a/Source/Gateway/GatewayTargets.cpp
+++ b/Source/Gateway/GatewayTargets.cpp
@@ -215,8 +215,10 @@
   auto Connection = message::client_connection::connect(
       Loop, *Address, Limits, Memory, {Target.Entry.Service, Target.Key});
   if (Connection)
-    Connection->setKeepaliveLimits(
-        {Settings.Forward.UnacknowledgedTimeout, std::chrono::seconds(2)});
+    // The deadline limits how long a target may leave a body unread.
+    Connection->setKeepaliveLimits({Settings.Forward.UnacknowledgedTimeout,
+                                    std::chrono::seconds(2),
+                                    /*MayLackRoom=*/true});
   return Connection;
 }
 
--- a/Source/Net/Event/TcpStream.cpp
+++ b/Source/Net/Event/TcpStream.cpp
@@ -4,10 +4,13 @@
 #include <cerrno>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
 
+#include <linux/sockios.h>
+
 namespace magnolia::event {
 namespace {
 
@@ -17,10 +20,33 @@
 /// Capacity of the buffer for unsent bytes that is kept for later ones.
 constexpr size_t MaxKeptBytes = size_t{64} * 1024;
 
+/// Every peer has room for this much, so that no room is waited for.
+constexpr size_t SmallWriteBytes = size_t{2} * 1024;
+/// Checks for room within the time after which a peer would count as dead.
+constexpr int RoomChecks = 3;
+
 void setOption(int Descriptor, int Level, int Name, int Value) {
   setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
 }
 
+/// Bytes that the system holds for the peer.
+struct held_bytes {
+  /// Sent, and not acknowledged yet.
+  int InFlight = 0;
+  int NotSent = 0;
+};
+
+/// Empty if the system does not say it.
+std::optional<held_bytes> heldBytesOf(int Descriptor) {
+  int All = 0;
+  held_bytes Held;
+  if (ioctl(Descriptor, SIOCOUTQ, &All) != 0 ||
+      ioctl(Descriptor, SIOCOUTQNSD, &Held.NotSent) != 0)
+    return std::nullopt;
+  Held.InFlight = All - Held.NotSent;
+  return Held;
+}
+
 } // namespace
 
 std::shared_ptr<tcp_stream> tcp_stream::adopt(event_loop &Loop, int Descriptor,
@@ -74,6 +100,8 @@
   if (Descriptor < 0)
     return;
   Loop.unwatch(Descriptor);
+  if (RoomTimer)
+    Loop.cancel(*RoomTimer);
   ::close(Descriptor);
   Descriptor = -1;
 }
@@ -165,6 +193,8 @@
 void tcp_stream::write(std::string_view Bytes) {
   if (!isOpen() || Finishing)
     return;
+  if (Bytes.size() > SmallWriteBytes)
+    watchRoom();
   Bytes.remove_prefix(sendNow(Bytes));
   if (Bytes.empty())
     return;
@@ -177,6 +207,8 @@
     write(Bytes);
     return;
   }
+  if (Bytes.size() > SmallWriteBytes)
+    watchRoom();
   const size_t Sent = sendNow(Bytes);
   if (Sent == Bytes.size())
     return;
@@ -242,16 +274,44 @@
   return Count >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
-void tcp_stream::setKeepaliveLimits(const keepalive_limits &Limits) {
+void tcp_stream::limitUnacknowledged(bool Limit) {
+  if (Limit == IsLimited)
+    return;
+  IsLimited = Limit;
+  const auto Time = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Limit ? Limits.Unacknowledged : duration::zero());
+  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<int>(Time.count()));
+}
+
+void tcp_stream::watchRoom() {
+  if (RoomTimer || !Limits.MayLackRoom)
+    return;
+  RoomTimer = Loop.callAfter(Limits.Unacknowledged / RoomChecks, [Weak = Self] {
+    if (const auto Stream = Weak.lock())
+      Stream->checkRoom();
+  });
+}
+
+/// The system's limit also holds while the peer has no room, though it
+/// acknowledges each question whether it has some.
+void tcp_stream::checkRoom() {
+  RoomTimer.reset();
+  if (!isOpen() || EndReported)
+    return;
+  const auto Held = heldBytesOf(Descriptor);
+  const bool HasNoRoom = Held && Held->InFlight == 0 && Held->NotSent > 0;
+  limitUnacknowledged(!HasNoRoom);
+  if (unsent() > 0 || (Held && Held->InFlight + Held->NotSent > 0))
+    watchRoom();
+}
+
+void tcp_stream::setKeepaliveLimits(const keepalive_limits &GivenLimits) {
   if (!isOpen())
     return;
-  const auto Unacknowledged =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          Limits.Unacknowledged)
-          .count();
-  if (Unacknowledged > 0)
-    setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-              static_cast<int>(Unacknowledged));
+  Limits = GivenLimits;
+  if (Limits.Unacknowledged > duration::zero())
+    limitUnacknowledged(true);
   if (Limits.ProbeAfter.count() == 0)
     return;
   constexpr int ProbeCount = 3;
--- a/Source/Net/Event/TcpStream.h
+++ b/Source/Net/Event/TcpStream.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <netinet/in.h>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,12 +34,15 @@
 
 /// Time limits for detecting a peer that no longer responds.
 struct keepalive_limits {
-  /// The connection breaks when sent bytes stay unacknowledged for this time.
-  /// Zero: the system's default.
+  /// The connection breaks when sent bytes stay unacknowledged for this time,
+  /// or the peer has no room for more. Zero: the system's default.
   duration Unacknowledged{0};
   /// Idle connections are probed after this time and break when three probes
   /// get no reply. Whole seconds; zero: no probes.
   std::chrono::seconds ProbeAfter{0};
+  /// Whether a peer that has acknowledged all it was sent may have no room for
+  /// more as long as it likes. The owner limits the time in another way.
+  bool MayLackRoom = false;
 };
 
 /// A non-blocking TCP connection. The buffer for unsent bytes is unbounded;
@@ -73,7 +77,7 @@
   /// that must not go to a closed connection.
   bool hasPendingInput() const;
 
-  void setKeepaliveLimits(const keepalive_limits &Limits);
+  void setKeepaliveLimits(const keepalive_limits &GivenLimits);
   void pauseReading(bool Paused);
 
   size_t unsent() const { return Unsent.size() - SentOfUnsent; }
@@ -98,6 +102,11 @@
   void flush();
   void updateEvents();
   void end(stream_end End);
+  /// Checks now and then whether the peer has room, until it has acknowledged
+  /// all bytes.
+  void watchRoom();
+  void checkRoom();
+  void limitUnacknowledged(bool Limit);
 
   event_loop &Loop;
   int Descriptor;
@@ -110,6 +119,10 @@
   bool Paused = false;
   bool EndReported = false;
   bool Finishing = false;
+  keepalive_limits Limits;
+  /// Whether the system breaks the connection at Limits.Unacknowledged.
+  bool IsLimited = false;
+  std::optional<event_loop::timer_id> RoomTimer;
 };
 
 } // namespace magnolia::event
