--- a/Source/Net/Message/ServerConnection.cpp
+++ b/Source/Net/Message/ServerConnection.cpp
@@ -145,7 +145,7 @@
     if (Calls.size() >= Limits.PipelineLimit || CallsOfTurn >= MaxCallsPerTurn)
       return;
     if (!Reader.inMessage())
-      MessageStart = Loop.now();
+      beginMessage();
     if (!hasRoom())
       return;
     Reader.reserveAnnounced();
@@ -169,6 +169,19 @@
   }
 }
 
+/// A request goes by the limits that are in force when it begins, however long
+/// the connection was idle before.
+void server_connection::beginMessage() {
+  MessageStart = Loop.now();
+  const duration TimerAtMost = std::min(Limits.HeadTimeout, Limits.IdleTimeout);
+  Limits = Hooks.Limits();
+  Reader.setLimits(Limits.Reader);
+  if (Limits.HeadTimeout >= TimerAtMost)
+    return;
+  Loop.cancel(Timer);
+  armTimer();
+}
+
 bool server_connection::hasRoom() {
   // A request that waits is refused soon, whether or not its length is known:
   // its caller can come back.
@@ -213,8 +226,6 @@
   Call->Memory = Meter.take();
   Call->Arrived = MessageStart;
   ContinueSent = false;
-  Limits = Hooks.Limits();
-  Reader.setLimits(Limits.Reader);
   if (!Call->KeepsAlive)
     ReadingStopped = true;
   Call->OnResponse = [Weak = weak_from_this()] {
--- a/Source/Net/Message/ServerConnection.h
+++ b/Source/Net/Message/ServerConnection.h
@@ -118,6 +118,7 @@
   /// Reads buffered requests and sends responses, for one turn.
   void process();
   void readBuffered();
+  void beginMessage();
   /// Whether there is room for the buffered bytes, and for what the head of the
   /// request announces. Otherwise nothing more is read until there is.
   bool hasRoom();
--- a/Source/UnitTests/Net/Message/HttpServerTest.cpp
+++ b/Source/UnitTests/Net/Message/HttpServerTest.cpp
@@ -221,6 +221,68 @@
     REQUIRE(Until([&] { return Caller.Ended; }));
     CHECK(Caller.Received.starts_with("HTTP/1.1 408 "));
   }
+  // Guards against a kept connection that goes by the limits of a configuration
+  // that was replaced before the request began.
+  SUBCASE("goes by the limits that are in force when a request begins") {
+    Limits.IdleTimeout = seconds(2);
+    Limits.HeadTimeout = seconds(2);
+    const std::string Padding(600, 'p');
+    const std::string Body(600, 'b');
+    const auto Padded =
+        "GET /2 HTTP/1.1\r\nHost: h\r\nX: " + Padding + "\r\n\r\n";
+    const auto Post = "POST /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 600"
+                      "\r\n\r\n" +
+                      Body;
+    const auto Responses = [&] {
+      size_t Count = 0;
+      for (size_t At = Caller.Received.find("HTTP/1.1 200");
+           At != std::string::npos;
+           At = Caller.Received.find("HTTP/1.1 200", At + 1))
+        ++Count;
+      return Count;
+    };
+    const auto ServeFirst = [&] {
+      Caller.send(Get("/1"));
+      REQUIRE(Until([&] { return Calls.size() == 1; }));
+      Calls[0]->respond(responseWith("first"));
+      REQUIRE(Until([&] { return Responses() == 1; }));
+    };
+    SUBCASE("a larger head") {
+      ServeFirst();
+      Limits.Reader.HeadBytes = 1000;
+      Caller.send(Padded);
+      CHECK(Until([&] { return Calls.size() == 2; }));
+    }
+    SUBCASE("a larger body") {
+      Limits.Reader.BodyBytes = 500;
+      ServeFirst();
+      Limits.Reader.BodyBytes = 1000;
+      Caller.send(Post);
+      CHECK(Until([&] { return Calls.size() == 2; }));
+    }
+    SUBCASE("a smaller body") {
+      ServeFirst();
+      Limits.Reader.BodyBytes = 500;
+      Caller.send(Post);
+      REQUIRE(Until([&] { return Caller.Ended; }));
+      CHECK(Caller.Received.find(" 413 ") != std::string::npos);
+    }
+    SUBCASE("a shorter time for the head") {
+      ServeFirst();
+      Limits.HeadTimeout = milliseconds(80);
+      Caller.send("GET /2 HTTP/1.1\r\nHo");
+      REQUIRE(Loop->runUntil([&] { return Caller.Ended; }, milliseconds(800)));
+      CHECK(Caller.Received.find(" 408 ") != std::string::npos);
+    }
+    SUBCASE("not those that change while it is read") {
+      ServeFirst();
+      Caller.send(Post.substr(0, Post.size() - 10));
+      Loop->runUntil([] { return false; }, milliseconds(30));
+      Limits.Reader.BodyBytes = 500;
+      Caller.send(Post.substr(Post.size() - 10));
+      CHECK(Until([&] { return Calls.size() == 2; }));
+    }
+  }
   SUBCASE("closes a connection that stays idle") {
     CHECK(Until([&] { return Caller.Ended; }));
     CHECK(Caller.Received.empty());
