Go on serving what a closed host was allowed before

Callers: one route of a version whose prefix cannot be read takes every request of its host out of service at all instances (503), one whose host cannot be read every request at all.

Cause: the closure did not ask what the version before allowed. Most requests of the host were served by the same route before, and that route still stands in the version.

Change: a request for a closed host is served if the rows that can be read send it to a route that allows nothing that the route of the last version without such a row did not allow: no other service, no call without a key that needed one, no repetition, no other home regions. New and moved routes, unknown paths and what the version takes away are refused as before. An instance that starts during the mistake knows nothing of before and refuses all; callers come back at another one.

Why it works: what is served was allowed by the operator before and is still, so that nothing opens and nothing that is withdrawn goes on. The price is a part of a route that the row was meant to move: it stays where it was until the row is corrected.

--- a/Source/Core/Routing/RouteTable.h
+++ b/Source/Core/Routing/RouteTable.h
@@ -20,11 +20,15 @@
 /// Immutable.
 class route_table {
 public:
-  static std::shared_ptr<const route_table> build(configuration Configuration);
+  /// \p Before: the table that was in force until now, if any.
+  static std::shared_ptr<const route_table>
+  build(configuration Configuration,
+        const std::shared_ptr<const route_table> &Before = nullptr);
 
   /// The route of \p Host (the port and the case of letters are ignored) with
   /// the longest prefix of \p Path; null if there is none. A closed one if the
-  /// request may be meant for a route that cannot be read.
+  /// request may be meant for a route that cannot be read, unless the last
+  /// table without such routes allowed it as much as this one does.
   const route *find(std::string_view Host, std::string_view Path) const;
 
   /// The home regions of the routes of \p Host that have any.
@@ -46,10 +50,26 @@
 private:
   using prefix_map = absl::flat_hash_map<std::string, const route *>;
 
-  explicit route_table(configuration Configuration);
+  route_table(configuration Configuration,
+              const std::shared_ptr<const route_table> &Given);
   void add(const route &Route);
   void add(const workspace &Workspace);
 
+  bool closesHosts() const {
+    return ClosesAllHosts != nullptr || !ClosedHosts.empty();
+  }
+  /// The closed route that closes the normalized \p Host; null if none does.
+  const route *closureOf(const std::string &Host) const;
+  /// The route with the longest prefix of \p Path, whatever closes the host.
+  const route *findListed(const std::string &Host, std::string_view Path) const;
+  bool needsKey(const route &Route) const {
+    return !Route.Public && Configuration.RequiresKeys;
+  }
+  /// Whether \p Route, of this table, allows a request nothing that the table
+  /// before did not allow it.
+  bool wasAllowed(const route &Route, std::string_view Host,
+                  std::string_view Path) const;
+
   const configuration Configuration;
   const rank_table Ranks;
   absl::flat_hash_map<std::string, prefix_map> ByHost;
@@ -60,6 +80,8 @@
   absl::flat_hash_map<std::string, const workspace *> ByKey;
   absl::flat_hash_map<std::string, const service *> ByService;
   bool MayMissKeys = false;
+  /// The last table that closes no host; null unless this one closes some.
+  std::shared_ptr<const route_table> Before;
 };
 
 } // namespace magnolia::routing
--- a/Source/Gateway/GatewayConfiguration.cpp
+++ b/Source/Gateway/GatewayConfiguration.cpp
@@ -106,7 +106,7 @@
             Read->Adjusted);
   InvalidConfiguration.reset();
   LostConfiguration->setInForce(Row);
-  Routes = routing::route_table::build(std::move(*Read));
+  Routes = routing::route_table::build(std::move(*Read), Routes);
   RoutesSince = Loop.now();
   Splits.keepOnly(Routes->configurationInForce());
   updateColdTargets();
--- a/Source/UnitTests/Routing/RouteTableTest.cpp
+++ b/Source/UnitTests/Routing/RouteTableTest.cpp
@@ -120,6 +120,87 @@
   }
 }
 
+// Guards against a single row that cannot be read and takes all routes of its
+// host, or of all hosts, out of service.
+TEST_CASE("A host that a route without a prefix closes") {
+  configuration Configuration;
+  const auto Add = [&](const char *Prefix, const char *Service) -> route & {
+    Configuration.Routes.push_back(routeOf(Prefix, "a.example", Prefix));
+    Configuration.Routes.back().Parts = {{Service, 1}};
+    return Configuration.Routes.back();
+  };
+  Add("/", "reads");
+  Add("/paid/", "orders");
+  const auto Before = route_table::build(Configuration);
+  route Closed;
+  Closed.Host = "a.example";
+  Closed.Closed = true;
+  Configuration.Routes.push_back(Closed);
+  const auto ServiceAt = [&](const char *Path) -> std::string {
+    const auto Table = route_table::build(Configuration, Before);
+    const route *Found = Table->find("a.example", Path);
+    if (Found == nullptr || Found->Closed)
+      return Found == nullptr ? "none" : "closed";
+    return Found->Parts.front().Service;
+  };
+
+  SUBCASE("goes on serving what the table before served in the same way") {
+    CHECK(ServiceAt("/1") == "reads");
+    CHECK(ServiceAt("/paid/1") == "orders");
+
+    SUBCASE("also after further tables with such a route") {
+      const auto Second = route_table::build(Configuration, Before);
+      const auto Third = route_table::build(Configuration, Second);
+      CHECK(nameAt(*Third, "a.example", "/paid/1") == "/paid/");
+      CHECK(Third->version() == Second->version());
+    }
+    SUBCASE("also where the route has no host") {
+      Configuration.Routes.back().Host.clear();
+      CHECK(ServiceAt("/paid/1") == "orders");
+    }
+  }
+  SUBCASE("is closed to all if nothing is known of before") {
+    const auto Table = route_table::build(Configuration);
+    CHECK(Table->find("a.example", "/1")->Closed);
+    CHECK(Table->find("a.example", "/paid/1")->Closed);
+    const auto Next = route_table::build(Configuration, Table);
+    CHECK(Next->find("a.example", "/1")->Closed);
+  }
+  SUBCASE("serves nothing that no route allows now") {
+    Configuration.Routes.erase(Configuration.Routes.begin());
+    CHECK(ServiceAt("/1") == "closed");
+    CHECK(ServiceAt("/paid/1") == "orders");
+  }
+  SUBCASE("serves nothing at another route than before") {
+    Configuration.Routes.erase(Configuration.Routes.begin() + 1);
+    CHECK(ServiceAt("/paid/1") == "closed");
+    CHECK(ServiceAt("/1") == "reads");
+  }
+  SUBCASE("serves no new route") {
+    Add("/paid/cards/", "reads");
+    CHECK(ServiceAt("/paid/cards/1") == "closed");
+    CHECK(ServiceAt("/paid/1") == "orders");
+  }
+  SUBCASE("opens nothing") {
+    route &Paid = Configuration.Routes[1];
+    SUBCASE("by another service") { Paid.Parts = {{"orders", 1}, {"new", 1}}; }
+    SUBCASE("without a key") { Paid.Public = true; }
+    SUBCASE("in other regions") { Paid.HomeRegions = {"west"}; }
+    SUBCASE("more than once") {
+      Paid.Repeatability = repeatability::Repeatable;
+    }
+    SUBCASE("though it is closed itself") { Paid.Closed = true; }
+    CHECK(ServiceAt("/paid/1") == "closed");
+    CHECK(ServiceAt("/1") == "reads");
+  }
+  SUBCASE("serves less than before") {
+    route &Paid = Configuration.Routes[1];
+    Paid.Timeout = std::chrono::seconds(1);
+    Paid.MaxAttempts = 7;
+    CHECK(ServiceAt("/paid/1") == "orders");
+  }
+}
+
 TEST_CASE("A route table finds the workspace of a key") {
   configuration Configuration;
   Configuration.Workspaces = {{"club", {"old", "new"}, 0, 5, 5},
